--- a/src/bin/ferryridge-drill/main.rs
+++ b/src/bin/ferryridge-drill/main.rs
@@ -1,10 +1,9 @@
 //! Speaks the bench's wire on standard input and output for any number of schedulers. It decides nothing.
 
 mod frames;
-mod settings;
 
 use ferryridge::interface::{Action, Event, Millis};
-use ferryridge::Scheduler;
+use ferryridge::{settings, Scheduler};
 use frames::{Record, Reply};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter, ErrorKind, Read, Write};
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,138 @@
+//! What an initiator is told at its start: the JSON file that `NODE_CONFIG` names.
+
+use crate::discovery::ListMessage;
+use crate::interface::Settings;
+use crate::settings;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// Everything the initiator works with.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name, for its log.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is asked.
+    pub discovery: SocketAddr,
+    /// Seed of its random numbers.
+    pub seed: u64,
+    /// File descriptors it may hold.
+    pub sockets: usize,
+    /// Bytes of memory it may use.
+    pub memory: usize,
+    /// The node list as it was last known.
+    pub known: Option<ListMessage>,
+    /// For the decisions.
+    pub settings: Settings,
+    /// For the wire.
+    pub wire: Wire,
+}
+
+/// The settings that only the wire needs.
+#[derive(Clone, Debug)]
+pub struct Wire {
+    /// Names of classes, plans and zones; the decisions name them by position.
+    pub classes: Vec<String>,
+    /// Plans, likewise.
+    pub plans: Vec<String>,
+    /// Zones, likewise.
+    pub zones: Vec<String>,
+    /// A connection that is not up by then has failed.
+    pub connect_timeout: Duration,
+    /// Targets close a connection that is idle for this long.
+    pub conn_idle: Duration,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: FileLimits,
+    #[serde(default)]
+    known: Option<serde_json::Value>,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct FileLimits {
+    memory_mb: f64,
+    sockets: usize,
+}
+
+#[derive(Deserialize)]
+struct WireSettings {
+    classes: Vec<Named>,
+    service_levels: Vec<Named>,
+    #[serde(default)]
+    zones: Vec<String>,
+    limits: WireLimits,
+}
+
+#[derive(Deserialize)]
+struct Named {
+    name: String,
+}
+
+#[derive(Deserialize)]
+struct WireLimits {
+    connect_timeout_ms: f64,
+    conn_idle_ms: f64,
+}
+
+impl Config {
+    /// Reads a configuration file; the error is one plain line.
+    pub fn read(path: &Path) -> Result<Config, String> {
+        let text = std::fs::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
+        Config::parse(&text).map_err(|why| format!("{}: {why}", path.display()))
+    }
+
+    fn parse(text: &[u8]) -> Result<Config, String> {
+        let file: File = serde_json::from_slice(text).map_err(|error| error.to_string())?;
+        let seed = u64::from_str_radix(&file.seed, 16)
+            .map_err(|_| format!("seed {:?} is not a hexadecimal number", file.seed))?;
+        let wire: WireSettings = WireSettings::deserialize(&file.settings)
+            .map_err(|error| format!("unusable settings: {error}"))?;
+        let settings = settings::parse(file.settings.to_string().as_bytes())
+            .map_err(|why| format!("unusable settings: {why}"))?;
+        if file.limits.sockets < 64 {
+            return Err(format!("limits.sockets is {}: at least 64 are needed", file.limits.sockets));
+        }
+        let known = match file.known {
+            None | Some(serde_json::Value::Null) => None,
+            // A bad remembered list is no reason not to start: discovery tells the present one.
+            Some(known) => ListMessage::parse(known.to_string().as_bytes())
+                .inspect_err(|why| tracing::warn!("the known list is left out: {why}"))
+                .ok(),
+        };
+        let names = |all: Vec<Named>| all.into_iter().map(|one| one.name).collect();
+        Ok(Config {
+            name: file.name,
+            listen: file.listen,
+            discovery: file.discovery,
+            seed,
+            sockets: file.limits.sockets,
+            memory: (file.limits.memory_mb.max(1.0) * 1048576.0) as usize,
+            known,
+            settings,
+            wire: Wire {
+                classes: names(wire.classes),
+                plans: names(wire.service_levels),
+                zones: wire.zones,
+                connect_timeout: millis("connect_timeout_ms", wire.limits.connect_timeout_ms)?,
+                conn_idle: millis("conn_idle_ms", wire.limits.conn_idle_ms)?,
+            },
+        })
+    }
+}
+
+fn millis(name: &str, value: f64) -> Result<Duration, String> {
+    Duration::try_from_secs_f64(value / 1000.0)
+        .ok()
+        .filter(|span| !span.is_zero())
+        .ok_or_else(|| format!("unusable settings: limits.{name} is {value}"))
+}
--- /dev/null
+++ b/src/conn.rs
@@ -0,0 +1,117 @@
+//! A buffered non-blocking TCP connection, as every wire here needs one. It knows no protocol.
+
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use std::io::{ErrorKind, Read, Write};
+use std::net::SocketAddr;
+
+/// Room a read asks for at once.
+const READ_BYTES: usize = 32 * 1024;
+
+/// What a read found at its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadEnd {
+    /// Nothing more for now.
+    Blocked,
+    /// The limit of unread input was reached; more may be waiting.
+    Paused,
+    /// The far side has ended its sending, or the connection broke.
+    Closed,
+}
+
+/// The state of a connection that is being made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Connecting {
+    Pending,
+    Up,
+    Failed,
+}
+
+pub struct Conn {
+    stream: TcpStream,
+    /// What has come and was not consumed yet.
+    pub input: Vec<u8>,
+    output: Vec<u8>,
+    written: usize,
+}
+
+impl Conn {
+    pub fn new(mut stream: TcpStream, token: Token, registry: &Registry) -> std::io::Result<Self> {
+        registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
+        Ok(Conn { stream, input: Vec::new(), output: Vec::new(), written: 0 })
+    }
+
+    pub fn connect(address: SocketAddr, token: Token, registry: &Registry) -> std::io::Result<Self> {
+        Conn::new(TcpStream::connect(address)?, token, registry)
+    }
+
+    /// Whether a connection that was begun is up. Small requests must not wait for one another's
+    /// acknowledgements, so Nagle's algorithm goes off here.
+    pub fn connecting(&self) -> Connecting {
+        if !matches!(self.stream.take_error(), Ok(None)) {
+            return Connecting::Failed;
+        }
+        match self.stream.peer_addr() {
+            Ok(_) => match self.stream.set_nodelay(true) {
+                Ok(()) => Connecting::Up,
+                Err(_) => Connecting::Failed,
+            },
+            Err(error) if error.kind() == ErrorKind::NotConnected => Connecting::Pending,
+            Err(_) => Connecting::Failed,
+        }
+    }
+
+    /// Reads what is there, until `limit` bytes lie unconsumed.
+    pub fn read(&mut self, limit: usize) -> ReadEnd {
+        loop {
+            if self.input.len() >= limit {
+                return ReadEnd::Paused;
+            }
+            let held = self.input.len();
+            self.input.resize(held + READ_BYTES, 0);
+            let result = self.stream.read(&mut self.input[held..]);
+            self.input.truncate(held + *result.as_ref().unwrap_or(&0));
+            match result {
+                Ok(0) => return ReadEnd::Closed,
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return ReadEnd::Blocked,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return ReadEnd::Closed,
+            }
+        }
+    }
+
+    /// Adds to what is to be written.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.output.extend_from_slice(bytes);
+    }
+
+    /// Bytes not handed to the kernel yet.
+    pub fn unwritten(&self) -> usize {
+        self.output.len() - self.written
+    }
+
+    /// Whether any byte of what is to be written has gone out.
+    pub fn has_begun(&self) -> bool {
+        self.written > 0
+    }
+
+    /// Writes as much as goes; an error means that the connection broke.
+    pub fn flush(&mut self) -> std::io::Result<()> {
+        while self.unwritten() > 0 {
+            match self.stream.write(&self.output[self.written..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(count) => self.written += count,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        self.output.clear();
+        self.written = 0;
+        // A large value must not keep its room for the life of an idle connection.
+        self.output.shrink_to(READ_BYTES);
+        self.input.shrink_to(READ_BYTES);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,391 @@
+//! What every request goes through, whatever wire it came by: taking it, its attempts, its one final answer.
+//!
+//! Nothing here does I/O or reads a clock. Fronts hand in requests, targets hand in how attempts ended, the
+//! planner's actions are carried out; what comes back is [`Effect`]s for fronts and targets.
+
+use crate::clock::Clock;
+use crate::interface::{Action, AttemptEnd, Event, NewRequest, NodeId, Outcome, RequestId};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How long after a request's deadline the core answers in the planner's place. Guards against a planner that
+/// says nothing; the planner's own answer at the deadline comes first.
+const OVERDUE: Duration = Duration::from_millis(4);
+
+/// Where an answer belongs: a connection of a front, and the place of the command on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Origin {
+    pub conn: usize,
+    pub place: u64,
+}
+
+/// Whether a request reads or writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Operation {
+    Read,
+    Write,
+}
+
+/// What a target needs to know of a request. It passes through unread.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Content {
+    pub operation: Operation,
+    /// The piece of data, as 16 hex digits.
+    pub object: String,
+    /// The client's id for the request.
+    pub id: String,
+    /// Further names and values, less the deadline: `c=read,t=gold,...`.
+    pub attributes: String,
+    pub body: Vec<u8>,
+}
+
+/// One attempt of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptId {
+    pub request: RequestId,
+    pub number: u32,
+}
+
+/// How an attempt ended, with what its answer told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ended {
+    pub outcome: Outcome,
+    pub used: Option<f64>,
+    pub elsewhere: f64,
+    /// The value, where it was served.
+    pub value: Vec<u8>,
+}
+
+impl Ended {
+    /// An end that no answer came with.
+    pub fn bare(outcome: Outcome) -> Self {
+        Ended { outcome, used: None, elsewhere: 0.0, value: Vec::new() }
+    }
+}
+
+/// A final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Served(Vec<u8>),
+    Refused { retry_after: Duration },
+    Failed,
+}
+
+/// What fronts and targets are to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Start {
+        attempt: AttemptId,
+        node: NodeId,
+        content: Rc<Content>,
+        give_up_at: Instant,
+    },
+    /// Stop waiting for an attempt. The target reports its end: `outcome`, or that it never ran.
+    Stop {
+        attempt: AttemptId,
+        outcome: Outcome,
+    },
+    Answer {
+        origin: Origin,
+        answer: Answer,
+    },
+}
+
+/// Counts since the start, and what is open now.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Counters {
+    pub taken: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub clients_gone: u64,
+    pub attempts: u64,
+    pub attempts_served: u64,
+    pub attempts_error: u64,
+    pub attempts_full: u64,
+    pub attempts_timed_out: u64,
+    pub attempts_not_connected: u64,
+    pub attempts_reset: u64,
+    pub attempts_cancelled: u64,
+    pub attempts_other: u64,
+    pub answered_overdue: u64,
+}
+
+impl Counters {
+    /// A line for each count.
+    pub fn text(&self, open: usize) -> String {
+        let rows = [
+            ("requests_taken", self.taken),
+            ("answers_served", self.served),
+            ("answers_refused", self.refused),
+            ("answers_failed", self.failed),
+            ("clients_gone", self.clients_gone),
+            ("attempts_sent", self.attempts),
+            ("attempts_served", self.attempts_served),
+            ("attempts_error", self.attempts_error),
+            ("attempts_full", self.attempts_full),
+            ("attempts_timed_out", self.attempts_timed_out),
+            ("attempts_not_connected", self.attempts_not_connected),
+            ("attempts_reset", self.attempts_reset),
+            ("attempts_cancelled", self.attempts_cancelled),
+            ("attempts_other", self.attempts_other),
+            ("answered_overdue", self.answered_overdue),
+            ("requests_open", open as u64),
+        ];
+        rows.iter().map(|(name, count)| format!("{name}:{count}\r\n")).collect()
+    }
+
+    fn attempt_ended(&mut self, outcome: Outcome) {
+        *match outcome {
+            Outcome::Served => &mut self.attempts_served,
+            Outcome::Error => &mut self.attempts_error,
+            Outcome::Full => &mut self.attempts_full,
+            Outcome::TimedOut => &mut self.attempts_timed_out,
+            Outcome::NotConnected => &mut self.attempts_not_connected,
+            Outcome::Reset => &mut self.attempts_reset,
+            Outcome::Cancelled => &mut self.attempts_cancelled,
+            Outcome::Moot | Outcome::Unknown => &mut self.attempts_other,
+        } += 1;
+    }
+}
+
+/// Whether an attempt that ended like this may have had an effect.
+pub fn may_have_run(outcome: Outcome) -> bool {
+    !matches!(outcome, Outcome::Full | Outcome::NotConnected | Outcome::Moot)
+}
+
+struct Attempt {
+    node: NodeId,
+    sent: Instant,
+    running: bool,
+}
+
+struct Open {
+    origin: Origin,
+    content: Rc<Content>,
+    deadline: Instant,
+    attempts: Vec<Attempt>,
+    answered: bool,
+    /// An ended attempt may have run.
+    ran: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    GiveUp(AttemptId),
+    Overdue(RequestId),
+    Wake,
+}
+
+/// The open requests of one initiator.
+pub struct Core {
+    clock: Clock,
+    requests: HashMap<RequestId, Open>,
+    timers: BinaryHeap<Reverse<(Instant, Timer)>>,
+    /// News for the planner, in the order they came.
+    events: Vec<Event>,
+    effects: Vec<Effect>,
+    /// Bytes of the bodies held.
+    held_bytes: usize,
+    last_id: u64,
+    pub counters: Counters,
+}
+
+impl Core {
+    pub fn new(clock: Clock) -> Self {
+        Core {
+            clock,
+            requests: HashMap::new(),
+            timers: BinaryHeap::new(),
+            events: Vec::new(),
+            effects: Vec::new(),
+            held_bytes: 0,
+            last_id: 0,
+            counters: Counters::default(),
+        }
+    }
+
+    /// Takes a request; its id is given here, since clients' own may clash.
+    pub fn take(&mut self, origin: Origin, mut new: NewRequest, content: Content) -> RequestId {
+        self.last_id += 1;
+        let id = RequestId(self.last_id);
+        new.id = id;
+        let deadline = self.clock.instant(new.deadline);
+        self.timers.push(Reverse((deadline + OVERDUE, Timer::Overdue(id))));
+        self.held_bytes += content.body.len();
+        let content = Rc::new(content);
+        let open = Open { origin, content, deadline, attempts: Vec::new(), answered: false, ran: false };
+        self.requests.insert(id, open);
+        self.counters.taken += 1;
+        self.events.push(Event::Request(new));
+        id
+    }
+
+    /// The client of a request no longer waits. Nothing is answered any more.
+    pub fn client_gone(&mut self, id: RequestId) {
+        let Some(open) = self.requests.get_mut(&id).filter(|open| !open.answered) else { return };
+        open.answered = true;
+        self.counters.clients_gone += 1;
+        self.events.push(Event::ClientGone { id });
+        self.close_if_over(id);
+    }
+
+    /// News of another kind for the planner.
+    pub fn tell(&mut self, event: Event) {
+        self.events.push(event);
+    }
+
+    /// An attempt ended. The first value served is the final answer of its request.
+    pub fn attempt_ended(&mut self, now: Instant, attempt: AttemptId, ended: Ended) {
+        let id = attempt.request;
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(it) = open.attempts.get_mut(attempt.number as usize).filter(|it| it.running) else { return };
+        it.running = false;
+        let (node, latency) = (it.node, now - it.sent);
+        open.ran |= may_have_run(ended.outcome);
+        self.counters.attempt_ended(ended.outcome);
+        if ended.outcome == Outcome::Served {
+            self.answer(id, Answer::Served(ended.value));
+        }
+        self.events.push(Event::AttemptEnded(AttemptEnd {
+            id,
+            attempt: attempt.number,
+            node,
+            outcome: ended.outcome,
+            finished: self.requests[&id].answered,
+            latency: latency.as_secs_f64() * 1000.0,
+            used: ended.used,
+            elsewhere: ended.elsewhere,
+        }));
+        self.close_if_over(id);
+    }
+
+    /// Carries out what the planner decided.
+    pub fn carry_out(&mut self, now: Instant, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { id, node, give_up_at } => self.send(now, id, node, give_up_at),
+                Action::Refuse { id, retry_after } => {
+                    let retry_after = Duration::from_secs_f64(retry_after.max(0.0) / 1000.0);
+                    self.answer(id, Answer::Refused { retry_after });
+                    self.close_if_over(id);
+                }
+                Action::Fail { id } => {
+                    self.answer(id, Answer::Failed);
+                    self.close_if_over(id);
+                }
+                Action::Cancel { id, attempt } => {
+                    let attempt = AttemptId { request: id, number: attempt };
+                    if self.is_running(attempt) {
+                        self.effects.push(Effect::Stop { attempt, outcome: Outcome::Cancelled });
+                    }
+                }
+                Action::WakeAt(at) => self.timers.push(Reverse((self.clock.instant(at), Timer::Wake))),
+                // Discovery is watched all the time; no call has to be asked for.
+                Action::Subscribe => {}
+            }
+        }
+    }
+
+    fn send(&mut self, now: Instant, id: RequestId, node: NodeId, give_up_at: f64) {
+        // The planner may not have heard yet that the request is over.
+        let Some(open) = self.requests.get_mut(&id).filter(|open| !open.answered) else { return };
+        let give_up_at = self.clock.instant(give_up_at).min(open.deadline);
+        let attempt = AttemptId { request: id, number: open.attempts.len() as u32 };
+        open.attempts.push(Attempt { node, sent: now, running: true });
+        self.counters.attempts += 1;
+        self.timers.push(Reverse((give_up_at, Timer::GiveUp(attempt))));
+        let content = open.content.clone();
+        self.effects.push(Effect::Start { attempt, node, content, give_up_at });
+    }
+
+    fn is_running(&self, attempt: AttemptId) -> bool {
+        let open = self.requests.get(&attempt.request);
+        open.and_then(|open| open.attempts.get(attempt.number as usize)).is_some_and(|it| it.running)
+    }
+
+    /// Gives the final answer, unless there was one.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let Some(open) = self.requests.get_mut(&id).filter(|open| !open.answered) else { return };
+        open.answered = true;
+        *match answer {
+            Answer::Served(_) => &mut self.counters.served,
+            Answer::Refused { .. } => &mut self.counters.refused,
+            Answer::Failed => &mut self.counters.failed,
+        } += 1;
+        self.effects.push(Effect::Answer { origin: open.origin, answer });
+    }
+
+    fn close_if_over(&mut self, id: RequestId) {
+        let over = |open: &Open| open.answered && open.attempts.iter().all(|attempt| !attempt.running);
+        if self.requests.get(&id).is_some_and(over) {
+            if let Some(open) = self.requests.remove(&id) {
+                self.held_bytes -= open.content.body.len();
+            }
+        }
+    }
+
+    /// When the next timer is due.
+    pub fn next_timer(&self) -> Option<Instant> {
+        self.timers.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Fires the timers that are due.
+    pub fn fire(&mut self, now: Instant) {
+        let mut woken = false;
+        while let Some(Reverse((_, timer))) =
+            self.timers.peek().filter(|Reverse((at, _))| *at <= now).copied()
+        {
+            self.timers.pop();
+            match timer {
+                Timer::Wake => woken = true,
+                Timer::GiveUp(attempt) if self.is_running(attempt) => {
+                    self.effects.push(Effect::Stop { attempt, outcome: Outcome::TimedOut });
+                }
+                Timer::Overdue(id) if self.requests.get(&id).is_some_and(|open| !open.answered) => {
+                    tracing::warn!(request = id.0, "no decision by the deadline");
+                    self.counters.answered_overdue += 1;
+                    self.end_without_planner(id);
+                    self.events.push(Event::ClientGone { id });
+                }
+                Timer::GiveUp(_) | Timer::Overdue(_) => {}
+            }
+        }
+        if woken {
+            self.events.push(Event::Wake);
+        }
+    }
+
+    /// Ends a request that the planner does not decide: failed where it may have run, else refused.
+    fn end_without_planner(&mut self, id: RequestId) {
+        let Some(open) = self.requests.get(&id) else { return };
+        let mut ran = open.ran;
+        for (number, _) in open.attempts.iter().enumerate().filter(|(_, it)| it.running) {
+            // An attempt that is out is taken to have run.
+            ran = true;
+            let attempt = AttemptId { request: id, number: number as u32 };
+            self.effects.push(Effect::Stop { attempt, outcome: Outcome::Cancelled });
+        }
+        let refused = Answer::Refused { retry_after: Duration::ZERO };
+        self.answer(id, if ran { Answer::Failed } else { refused });
+        self.close_if_over(id);
+    }
+
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
+    pub fn drain_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    pub fn drain_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,3 @@
+//! Where clients come in, one module for each wire.
+
+pub mod resp;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,15 +6,15 @@
 pub type Millis = f64;
 
 /// One request of a client; never used twice while a scheduler lives.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
 /// One storage node. A machine that replaces it has another id, a restarted process the same.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct NodeId(pub u32);
 
 /// One volume, over all hosts.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct VolumeId(pub u64);
 
 /// Everything a scheduler is told at its start.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,7 +44,18 @@
 //! ```
 #![warn(missing_docs)]
 
+mod clock;
+pub mod config;
+mod conn;
+mod core;
+pub mod discovery;
+pub mod forwarder;
+mod front;
 pub mod interface;
+mod planner;
+mod resp;
 mod rules;
+pub mod settings;
+mod target;
 
 pub use rules::Scheduler;
--- /dev/null
+++ b/src/resp.rs
@@ -0,0 +1,139 @@
+//! RESP2: reading whole values off an input that comes in pieces, and writing them.
+
+/// A value of at most this many bytes is accepted in a bulk string.
+pub const LARGEST_BULK: usize = 64 * 1024;
+/// More elements than any command or answer has.
+const MOST_ELEMENTS: usize = 64;
+/// A line (a length, a status or an error) is not longer.
+const LONGEST_LINE: usize = 4 * 1024;
+
+/// One RESP2 value.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    Simple(Vec<u8>),
+    Error(Vec<u8>),
+    Integer(i64),
+    Bulk(Option<Vec<u8>>),
+    Array(Option<Vec<Value>>),
+}
+
+/// Reads the value at the start of `input`: the value and its length, or nothing while it is not whole. An
+/// error means that the framing is lost.
+pub fn parse(input: &[u8]) -> Result<Option<(Value, usize)>, String> {
+    parse_nested(input, true)
+}
+
+fn parse_nested(input: &[u8], outermost: bool) -> Result<Option<(Value, usize)>, String> {
+    let Some((&kind, rest)) = input.split_first() else { return Ok(None) };
+    if !b"+-:$*".contains(&kind) {
+        return Err(format!("expected a RESP2 value, got byte {kind}"));
+    }
+    let Some(end) = rest.iter().take(LONGEST_LINE).position(|byte| *byte == b'\n') else {
+        return if rest.len() < LONGEST_LINE { Ok(None) } else { Err("too long a line".into()) };
+    };
+    let line = rest[..end].strip_suffix(b"\r").ok_or("a line ends without CR")?;
+    let start = end + 2;
+    let text = line.to_vec();
+    match kind {
+        b'+' => Ok(Some((Value::Simple(text), start))),
+        b'-' => Ok(Some((Value::Error(text), start))),
+        b':' => Ok(Some((Value::Integer(number(line)?), start))),
+        b'$' => {
+            let Some(length) = length(line, LARGEST_BULK)? else {
+                return Ok(Some((Value::Bulk(None), start)));
+            };
+            let Some(bytes) = input.get(start..start + length + 2) else { return Ok(None) };
+            let bytes = bytes.strip_suffix(b"\r\n").ok_or("a bulk string ends without CRLF")?;
+            Ok(Some((Value::Bulk(Some(bytes.to_vec())), start + length + 2)))
+        }
+        _ if !outermost => Err("an array within an array".into()),
+        _ => {
+            let Some(count) = length(line, MOST_ELEMENTS)? else {
+                return Ok(Some((Value::Array(None), start)));
+            };
+            let (mut values, mut at) = (Vec::with_capacity(count), start);
+            for _ in 0..count {
+                let Some((value, length)) = parse_nested(&input[at..], false)? else { return Ok(None) };
+                values.push(value);
+                at += length;
+            }
+            Ok(Some((Value::Array(Some(values)), at)))
+        }
+    }
+}
+
+fn number(line: &[u8]) -> Result<i64, String> {
+    let text = std::str::from_utf8(line).map_err(|_| "a number is not text")?;
+    text.parse().map_err(|_| format!("{text:?} is not a number"))
+}
+
+/// A length, or nothing for null.
+fn length(line: &[u8], most: usize) -> Result<Option<usize>, String> {
+    match number(line)? {
+        -1 => Ok(None),
+        count => match usize::try_from(count) {
+            Ok(count) if count <= most => Ok(Some(count)),
+            _ => Err(format!("a length of {count}, at most {most} is accepted")),
+        },
+    }
+}
+
+/// A bulk string.
+pub fn bulk(output: &mut Vec<u8>, bytes: &[u8]) {
+    output.extend_from_slice(format!("${}\r\n", bytes.len()).as_bytes());
+    output.extend_from_slice(bytes);
+    output.extend_from_slice(b"\r\n");
+}
+
+/// A command: an array of bulk strings.
+pub fn command(words: &[&[u8]]) -> Vec<u8> {
+    let mut output = format!("*{}\r\n", words.len()).into_bytes();
+    words.iter().for_each(|word| bulk(&mut output, word));
+    output
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_value_is_read_only_once_it_is_whole() {
+        let mut whole = command(&[b"OBJ.PUT", b"", b"\r\n$-1\r\n\x00\xff"]);
+        let length = whole.len();
+        whole.extend(b"*1");
+        for cut in 0..length {
+            assert_eq!(parse(&whole[..cut]), Ok(None), "cut at {cut}");
+        }
+        let words =
+            [&b"OBJ.PUT"[..], b"", b"\r\n$-1\r\n\x00\xff"].map(|word| Value::Bulk(Some(word.to_vec())));
+        assert_eq!(parse(&whole), Ok(Some((Value::Array(Some(words.to_vec())), length))));
+    }
+
+    #[test]
+    fn lost_framing_is_an_error_and_no_panic() {
+        let bad: [&[u8]; 10] = [
+            b"PING\r\n",
+            b"*x\r\n",
+            b"*-2\r\n",
+            b"*65\r\n",
+            b"$65537\r\n",
+            b"$99999999999999999999\r\n",
+            b"$2\r\nabcd",
+            b"*1\r\n*1\r\n",
+            b"+a\n",
+            &[b'+'; LONGEST_LINE + 2],
+        ];
+        for input in bad {
+            assert!(parse(input).is_err(), "{:?}", String::from_utf8_lossy(input));
+        }
+    }
+
+    proptest::proptest! {
+        #[test]
+        fn any_bytes_are_read_or_declined(bytes: Vec<u8>) {
+            if let Ok(Some((_, length))) = parse(&bytes) {
+                proptest::prop_assert!(length <= bytes.len());
+            }
+        }
+    }
+}
--- a/src/bin/ferryridge-drill/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! The JSON settings of an instance, as the wire words them.
 
-use ferryridge::interface::{Budget, Class, Effect, Group, Limit, Limits, Plan, Rules, Settings, Units};
+use crate::interface::{Budget, Class, Effect, Group, Limit, Limits, Plan, Rules, Settings, Units};
 use serde::Deserialize;
 
 #[derive(Deserialize)]
