--- a/src/bin/ferryridge-drill/frames.rs
+++ b/src/bin/topazpath-wirehost/frames.rs
@@ -1,6 +1,6 @@
 //! The binary frames of the wire, both ways.
 
-use ferryridge::interface::*;
+use topazpath::interface::*;
 
 /// A record of a batch.
 #[derive(Debug, PartialEq)]
--- a/src/bin/ferryridge-drill/main.rs
+++ b/src/bin/topazpath-wirehost/main.rs
@@ -2,13 +2,13 @@
 
 mod frames;
 
-use ferryridge::interface::{Action, Event, Millis};
-use ferryridge::{settings, Scheduler};
 use frames::{Record, Reply};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter, ErrorKind, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
+use topazpath::interface::{Action, Event, Millis};
+use topazpath::{settings, Scheduler};
 
 /// The instances of this process, each with what the running batch brought it.
 #[derive(Default)]
@@ -22,7 +22,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("ferryridge-drill: {why}");
+            eprintln!("topazpath-wirehost: {why}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,9 @@
-//! ferryridge decides when a gateway sends each I/O request of its volumes, to which storage node, how many
+//! topazpath decides when a gateway sends each I/O request of its volumes, to which storage node, how many
 //! at once, and which it turns away. It does no I/O and reads no clock: feed it events, carry out its actions.
 //!
 //! ```
-//! use ferryridge::interface::*;
-//! use ferryridge::Scheduler;
+//! use topazpath::interface::*;
+//! use topazpath::Scheduler;
 //!
 //! let class = Class {
 //!     aim_ms: 300.0,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,10 +1,10 @@
 //! The initiator: one process, one thread. Its configuration is the file that `NODE_CONFIG` names.
 
-use ferryridge::config::Config;
-use ferryridge::forwarder::Forwarder;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use topazpath::config::Config;
+use topazpath::forwarder::Forwarder;
 use tracing_subscriber::EnvFilter;
 
 fn main() -> ExitCode {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,4 +1,4 @@
-//! Every decision of ferryridge. Its types are in `src/interface.rs`: Settings, Event, Action and the ids.
+//! Every decision of topazpath. Its types are in `src/interface.rs`: Settings, Event, Action and the ids.
 //!
 //! Order of this file: constants, state, event intake, the three layers of the design (class controller,
 //! arbiter, node allocator), dispatch, rule guards, health. docs/design.md says what was kept and changed.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A host whose events are scripted by the test; nothing here answers by itself.
 #![allow(dead_code)]
 
-use ferryridge::interface::*;
-use ferryridge::Scheduler;
+use topazpath::interface::*;
+use topazpath::Scheduler;
 
 /// Time between two looks of a run, and the start of every script.
 pub const LOOK_MS: Millis = 5.0;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use ferryridge::interface::*;
+use topazpath::interface::*;
 
 fn safe() -> Settings {
     settings(vec![class(Effect::Safe)])
--- a/tests/layers.rs
+++ b/tests/layers.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use ferryridge::interface::*;
+use topazpath::interface::*;
 
 fn two_classes() -> Settings {
     // Late answers keep their worth here, or late requests would be held.
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,13 +1,13 @@
 //! The adapter's frames: what it reads, what it writes, and how it ends on what is malformed.
 
-#[path = "../src/bin/ferryridge-drill/frames.rs"]
+#[path = "../src/bin/topazpath-wirehost/frames.rs"]
 mod frames;
 
-use ferryridge::interface::*;
 use frames::{read_header, read_records, BatchHeader, Record, Reply, HEADER_BYTES};
 use proptest::prelude::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
+use topazpath::interface::*;
 
 const SETTINGS: &str = r#"{"siblings": 2, "tick_ms": 1.0, "discovery": "pushed", "never_seen": [1],
     "classes": [{"aim_ms": 300, "hard_limit_ms": 2000, "worth": 1, "late_worth": 0.1, "effect": "read_like"}],
@@ -64,7 +64,7 @@
 }
 
 fn drill(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ferryridge-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_topazpath-wirehost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -80,7 +80,7 @@
     assert!(!output.status.success());
     let text = String::from_utf8(output.stderr).expect("plain text");
     assert_eq!(text.lines().count(), 1, "{text}");
-    assert!(text.starts_with("ferryridge-drill: "), "{text}");
+    assert!(text.starts_with("topazpath-wirehost: "), "{text}");
 }
 
 fn parse(frame: &[u8]) -> Result<Vec<Record>, String> {
