Refuse a request without an attempt by half of its time

At fault: give_up in src/rules.rs held an unsent request until its deadline less a quick answer.

Conclusion: what is given up is told early; late service lost by it earns less than the clients' second tries.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -48,7 +48,8 @@
 #[derive(Default)]
 struct Request {
     new: NewRequest,
-    /// When its client first asked, as far as its deadline tells.
+    /// When it was taken, and when its client first asked, as far as its deadline tells.
+    taken: Millis,
     asked: Millis,
     /// Its place in its volume's demand, between 0 and 1.
     place: f64,
@@ -64,6 +65,7 @@
 }
 
 /// A class controller's memory.
+#[derive(Default)]
 struct ClassControl {
     /// Normalized bound and last ask.
     bound: f64,
@@ -198,12 +200,7 @@
     /// A scheduler for one host. `seed` serves only to spread calls that hosts would make together.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let even = 1.0 / settings.classes.len().max(1) as f64;
-        let class = |_: &Class| ClassControl {
-            bound: even,
-            ask: even,
-            history: VecDeque::new(),
-            latency: (0.0, 0.0),
-        };
+        let class = |_: &Class| ClassControl { bound: even, ask: even, ..ClassControl::default() };
         Scheduler {
             random: seed,
             classes: settings.classes.iter().map(class).collect(),
@@ -297,7 +294,7 @@
         let place = volume.place;
         let mut new = new.clone();
         new.volume_hosts = new.volume_hosts.max(1.0);
-        self.hold(Request { new, asked, place, ..Request::default() });
+        self.hold(Request { new, taken: self.now, asked, place, ..Request::default() });
     }
 
     /// Holds a request for the node of its shard; a new object for the first node with room.
@@ -449,8 +446,8 @@
             with_worth.map(|(class, worth)| class.bound_at(error, *worth, total)).collect()
         };
         let highest = worths.iter().copied().fold(1.0, f64::max);
-        let best =
-            self.classes.iter().map(|c| c.history.back().map_or(1.0, |last| last.0)).fold(1.0, f64::max);
+        let last = self.classes.iter().filter_map(|class| class.history.back());
+        let best = last.map(|last| last.0).fold(1.0, f64::max);
         let reach = highest * (1.0 + best) * BISECTIONS as f64;
         let (mut low, mut high) = (-reach, reach);
         for _ in 0..BISECTIONS {
@@ -536,8 +533,7 @@
         }
         let level = self.level_of(node);
         let rank = |id: &RequestId| {
-            let request = &self.requests[id];
-            let need = self.need(request, node);
+            let (request, need) = (&self.requests[id], self.need(&self.requests[id], node));
             if need > level || !self.permitted(request, node) {
                 return None;
             }
@@ -585,9 +581,8 @@
         let say = match end.outcome {
             Outcome::Served | Outcome::Error => {
                 let size = (units / self.settings.units.mean.max(f64::MIN_POSITIVE)).max(1.0);
-                (aim * ANSWER_SHARE * size / end.latency.max(f64::MIN_POSITIVE))
-                    .ln()
-                    .clamp(LEVEL_SAY.0, LEVEL_SAY.1)
+                let ratio = aim * ANSWER_SHARE * size / end.latency.max(f64::MIN_POSITIVE);
+                ratio.ln().clamp(LEVEL_SAY.0, LEVEL_SAY.1)
             }
             Outcome::Full | Outcome::TimedOut | Outcome::Cancelled => LEVEL_SAY.0,
             _ => return,
@@ -635,14 +630,19 @@
     }
 
     /// Final answers for held requests that even a quick answer of their node would not bring in time. Guards
-    /// against clients that wait for less than a node takes and come again and again (ieb05fd).
+    /// against clients that wait for less than a node takes and come again and again (ieb05fd), and without
+    /// an attempt by half of the time, against clients kept long for a no.
     fn give_up(&mut self, actions: &mut Vec<Action>) {
         let margin = self.look_ms + self.settings.tick_ms;
         let mut over = Vec::new();
         for (shard, lane) in &self.held {
             let nodes = self.ready().filter(|node| shard.is_none_or(|shard| shard == node.entry.shard));
             let quick = nodes.map(Node::quick_answer).reduce(f64::min).unwrap_or(0.0).max(margin);
-            over.extend(lane.iter().filter(|id| self.requests[id].new.deadline - quick <= self.now));
+            over.extend(lane.iter().filter(|id| {
+                let Request { new, taken, attempts, .. } = &self.requests[id];
+                let half = (taken + new.deadline) / 2.0 - margin;
+                new.deadline - quick <= self.now || (*attempts == 0 && half <= self.now)
+            }));
         }
         self.held.values_mut().for_each(|lane| lane.retain(|id| !over.contains(id)));
         for id in over {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -429,3 +429,21 @@
     host.list(ListKind::Delta, &[NodeEntry { started: host.now - 20_000.0, ..node(1, 0) }]);
     assert!(news.iter().filter(|id| !host.sent().contains(id)).count() < held, "warm again, it is used");
 }
+
+#[test]
+fn a_request_without_an_attempt_is_refused_by_half_of_its_time() {
+    // A client that is kept for longer before a no could have come again meanwhile.
+    let mut host = Host::new(safe(), &[node(1, 0)]);
+    let stuck: Vec<RequestId> = (0..8).map(|_| host.request(0, 0, 0)).collect();
+    let start = host.now;
+    host.run(3000.0);
+    let unsent: Vec<_> = stuck.iter().filter(|id| !host.sent().contains(id)).collect();
+    assert!(!unsent.is_empty(), "the silent node bears less than all of them");
+    for id in unsent {
+        let answers = host.answers(*id);
+        assert_eq!(answers.len(), 1);
+        assert!(matches!(answers[0].1, Action::Refuse { retry_after, .. } if retry_after > 0.0));
+        let after = answers[0].0 - start;
+        assert!((1400.0..1500.0).contains(&after), "refused after {after} of 3000 ms");
+    }
+}
