--- a/src/bin/topazpath-wirehost/frames.rs
+++ b/src/bin/topazpath-wirehost/frames.rs
@@ -173,7 +173,7 @@
             2 => NodeState::Draining,
             other => return Err(format!("node state {other} is not known")),
         };
-        entries.push(NodeEntry { node, shard, zone, started, state });
+        entries.push(NodeEntry { node, shard, zone, started, state, fixed: false });
     }
     Ok(Event::List { kind, entries })
 }
--- a/src/config.rs
+++ b/src/config/mod.rs
@@ -1,5 +1,7 @@
 //! What an initiator is told at its start: the JSON file that `NODE_CONFIG` names.
 
+pub mod iscsi;
+
 use crate::discovery::ListMessage;
 use crate::interface::Settings;
 use crate::settings;
@@ -29,6 +31,8 @@
     pub settings: Settings,
     /// For the wire.
     pub wire: Wire,
+    /// The second front, where it is switched on.
+    pub iscsi: Option<iscsi::Iscsi>,
 }
 
 /// The settings that only the wire needs.
@@ -85,10 +89,13 @@
 }
 
 impl Config {
-    /// Reads a configuration file; the error is one plain line.
-    pub fn read(path: &Path) -> Result<Config, String> {
+    /// Reads a configuration file and that of the second front; the error is one plain line.
+    pub fn read(path: &Path, iscsi: &Path) -> Result<Config, String> {
         let text = std::fs::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
-        Config::parse(&text).map_err(|why| format!("{}: {why}", path.display()))
+        let mut config = Config::parse(&text).map_err(|why| format!("{}: {why}", path.display()))?;
+        config.iscsi = iscsi::Iscsi::read(iscsi, &mut config.settings, &mut config.wire)
+            .map_err(|why| format!("{}: {why}", iscsi.display()))?;
+        Ok(config)
     }
 
     fn parse(text: &[u8]) -> Result<Config, String> {
@@ -126,6 +133,7 @@
                 connect_timeout: millis("connect_timeout_ms", wire.limits.connect_timeout_ms)?,
                 conn_idle: millis("conn_idle_ms", wire.limits.conn_idle_ms)?,
             },
+            iscsi: None,
         })
     }
 }
--- a/src/core.rs
+++ b/src/core.rs
@@ -39,6 +39,17 @@
     /// Further names and values, less the deadline: `c=read,t=gold,...`.
     pub attributes: String,
     pub body: Vec<u8>,
+    /// Where it lies on block storage; without it only nodes of objects can serve it.
+    pub extent: Option<Extent>,
+}
+
+/// A run of blocks of a logical unit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Extent {
+    pub lun: u16,
+    pub block: u64,
+    pub blocks: u32,
+    pub block_bytes: u32,
 }
 
 /// One attempt of a request.
--- a/src/forwarder.rs
+++ b/src/forwarder.rs
@@ -1,25 +1,32 @@
 //! The loop: gathers what is ready, hands it to the planner in one call, carries out what came back.
 
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{self, Config};
 use crate::core::{Core, Effect, Ended};
 use crate::discovery::{Discovery, ListMessage, Status};
-use crate::front::resp::Front;
-use crate::interface::{Event, ListKind, NodeEntry, NodeId, NodeState, Outcome};
+use crate::front::{iscsi, resp, Front, Room};
+use crate::interface::{Class, Event, ListKind, NodeEntry, NodeId, NodeState, Outcome};
 use crate::planner::Planner;
-use crate::target::resp::Targets;
+use crate::target::{Endpoint, Start, Targets, Wire};
 use mio::net::UnixStream;
 use mio::{Events, Interest, Poll, Token};
 use std::collections::HashMap;
 use std::io::Read;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 const LISTENER: Token = Token(0);
 const SIGNAL: Token = Token(1);
 const DISCOVERY: Token = Token(2);
-/// Tokens from here on are given out once each: fronts' even, targets' odd.
+const ISCSI_LISTENER: Token = Token(3);
+/// Tokens from here on are given out once each; the remainder by four tells whose.
 const FIRST_FREE: usize = 16;
+const RESP_CLIENT: usize = 0;
+const ISCSI_CLIENT: usize = 1;
+const TARGET: usize = 2;
+/// Sessions of the second front. Each may collect a window of writes, so many of them would fill the memory.
+const MOST_ISCSI: usize = 64;
+/// Part of the memory that bodies of open requests may take up.
+const BODIES_PART: usize = 4;
 /// After SIGTERM new connections go on arriving for a while, and are served.
 const LINGER: Duration = Duration::from_millis(450);
 /// How often a shutdown looks for clients that have become idle.
@@ -29,31 +36,54 @@
 /// Part of the descriptors that is for targets.
 const TARGETS_PART: f64 = 0.4;
 
-/// Nodes as discovery names them.
+/// Nodes as discovery and the second front's file name them.
 #[derive(Default)]
 struct Nodes {
     ids: HashMap<String, NodeId>,
-    /// Address and state of those listed.
-    known: HashMap<NodeId, (SocketAddr, NodeState)>,
+    /// Where listed nodes are and their state.
+    known: HashMap<NodeId, (Endpoint, NodeState)>,
+    /// Those that no list of discovery has.
+    own: Vec<NodeEntry>,
+    zones: Vec<String>,
 }
 
 impl Nodes {
+    fn id(&mut self, name: String) -> NodeId {
+        let next = NodeId(self.ids.len() as u32);
+        *self.ids.entry(name).or_insert(next)
+    }
+
+    /// Adds storage of the second front; it is there from the start to the end.
+    fn add_own(&mut self, storage: &config::iscsi::Storage) {
+        let node = self.id(format!("iscsi {}", storage.name));
+        let endpoint = Endpoint { address: storage.address, wire: Wire::Iscsi(storage.name.clone()) };
+        self.known.insert(node, (endpoint, NodeState::Ready));
+        self.own.push(NodeEntry { node, shard: storage.shard, fixed: true, ..NodeEntry::default() });
+    }
+
     /// Turns a message of discovery into one for the planner; tells which nodes are to get nothing new.
-    fn take(&mut self, message: ListMessage, kind: ListKind, zones: &[String]) -> (Event, Vec<NodeId>) {
+    fn take(&mut self, message: ListMessage, kind: ListKind) -> (Event, Vec<NodeId>) {
         let mut entries = Vec::new();
         for line in message.endpoints {
-            let next = NodeId(self.ids.len() as u32);
-            let node = *self.ids.entry(line.name).or_insert(next);
+            let node = self.id(line.name);
             let state = match line.status {
                 Status::Active => NodeState::Ready,
                 Status::Leaving => NodeState::Draining,
                 Status::Left => NodeState::Gone,
             };
-            let zone = zones.iter().position(|zone| *zone == line.zone).unwrap_or(0) as u32;
-            self.known.insert(node, (line.address, state));
-            entries.push(NodeEntry { node, shard: line.group, zone, started: line.since_ms, state });
+            let zone = self.zones.iter().position(|zone| *zone == line.zone).unwrap_or(0) as u32;
+            self.known.insert(node, (Endpoint { address: line.address, wire: Wire::Resp }, state));
+            entries.push(NodeEntry {
+                node,
+                shard: line.group,
+                zone,
+                started: line.since_ms,
+                state,
+                fixed: false,
+            });
         }
         if kind != ListKind::Delta {
+            entries.extend(self.own.iter().cloned());
             // Whoever is not on a whole list is gone.
             for (node, (_, state)) in &mut self.known {
                 if !entries.iter().any(|entry| entry.node == *node) {
@@ -72,11 +102,11 @@
     poll: Poll,
     core: Core,
     planner: Planner,
-    front: Front,
+    resp: Front<resp::Resp>,
+    iscsi: Option<Front<iscsi::Target>>,
     targets: Targets,
     discovery: Discovery,
     nodes: Nodes,
-    zones: Vec<String>,
     signal: UnixStream,
     stopping: Option<Instant>,
     next_token: usize,
@@ -93,38 +123,46 @@
         registered.map_err(|error| format!("signal pipe: {error}"))?;
         let for_targets = (config.sockets as f64 * TARGETS_PART) as usize;
         let for_clients = config.sockets - for_targets - OTHER_DESCRIPTORS;
-        let wire = config.wire;
-        let zones = wire.zones.clone();
+        let room = Room { clients: for_clients, bodies: config.memory / BODIES_PART };
+        let (wire, settings) = (config.wire, config.settings);
+        let mut nodes = Nodes { zones: wire.zones.clone(), ..Nodes::default() };
         let targets = Targets::new(wire.connect_timeout, wire.conn_idle, for_targets, now);
-        let retry_after = Duration::from_secs_f64(config.settings.limits.max_retry_after_ms / 1000.0);
-        let front = Front::listen(
-            config.listen,
-            LISTENER,
-            poll.registry(),
-            wire,
-            clock,
-            for_clients,
-            config.memory,
-            retry_after,
-        )
-        .map_err(|error| format!("{}: {error}", config.listen))?;
+        let retry_after = Duration::from_secs_f64(settings.limits.max_retry_after_ms / 1000.0);
+        let iscsi = config.iscsi.map(|offered| {
+            offered.storage.iter().for_each(|storage| nodes.add_own(storage));
+            let wait = |class: &Class| Duration::from_secs_f64(class.deadline_ms / 1000.0);
+            let patience = settings.classes.iter().map(wait).collect();
+            let room = Room { clients: MOST_ISCSI, ..room };
+            let listen = offered.listen;
+            let target = iscsi::Target::new(offered, patience, retry_after, config.seed);
+            Front::listen(target, listen, ISCSI_LISTENER, poll.registry(), clock, room)
+                .map_err(|error| format!("{listen}: {error}"))
+        });
+        let resp = resp::Resp { wire, retry_after };
+        let resp = Front::listen(resp, config.listen, LISTENER, poll.registry(), clock, room)
+            .map_err(|error| format!("{}: {error}", config.listen))?;
         let mut forwarder = Forwarder {
             poll,
             core: Core::new(clock),
-            planner: Planner::new(config.settings, config.seed, clock),
-            front,
+            planner: Planner::new(settings, config.seed, clock),
+            resp,
+            iscsi: iscsi.transpose()?,
             targets,
             discovery: Discovery::new(config.discovery, DISCOVERY, now),
-            nodes: Nodes::default(),
-            zones,
+            nodes,
             signal,
             stopping: None,
             next_token: FIRST_FREE,
         };
+        if !forwarder.nodes.own.is_empty() {
+            let entries = forwarder.nodes.own.clone();
+            forwarder.core.tell(Event::List { kind: ListKind::Delta, entries });
+        }
         if let Some(known) = config.known {
             forwarder.take_list(known, ListKind::Cached);
         }
-        tracing::info!(name = config.name, listen = %config.listen, "started");
+        let iscsi = forwarder.iscsi.as_ref().and_then(Front::address);
+        tracing::info!(name = config.name, resp = ?forwarder.resp.address(), ?iscsi, "started");
         Ok(forwarder)
     }
 
@@ -149,9 +187,10 @@
             self.discovery.tick(now, self.poll.registry());
             self.plan(now);
             if self.stopping.is_some_and(|since| now >= since + LINGER) {
-                let closed = self.front.shut_down(now, &mut self.core);
+                let iscsi = self.iscsi.as_mut().is_none_or(|front| front.shut_down(now, &mut self.core));
+                let resp = self.resp.shut_down(now, &mut self.core);
                 self.plan(now);
-                if closed && self.core.open_requests() == 0 {
+                if iscsi && resp && self.core.open_requests() == 0 {
                     tracing::info!("ended\n{}", self.core.counters.text(0));
                     return Ok(());
                 }
@@ -171,7 +210,7 @@
     fn gather(&mut self, now: Instant, token: Token) {
         match token {
             // Connections are accepted once all that is ready was looked at.
-            LISTENER => {}
+            LISTENER | ISCSI_LISTENER => {}
             SIGNAL => {
                 let mut bytes = [0; 16];
                 if self.signal.read(&mut bytes).is_ok_and(|count| count > 0) {
@@ -187,22 +226,25 @@
                     self.take_list(message, kind);
                 }
             }
-            Token(id) if id % 2 == 0 => self.front.ready(now, id, &mut self.core),
-            Token(id) => self.targets.ready(now, id),
+            Token(id) => match (id % 4, &mut self.iscsi) {
+                (RESP_CLIENT, _) => self.resp.ready(now, id, &mut self.core),
+                (ISCSI_CLIENT, Some(front)) => front.ready(now, id, &mut self.core),
+                _ => self.targets.ready(now, id),
+            },
         }
     }
 
     /// Takes new connections, also those that had to wait for room.
     fn accept(&mut self, now: Instant) {
         let (registry, next) = (self.poll.registry(), &mut self.next_token);
-        self.front.accept(now, registry, || {
-            *next += 2;
-            Token(*next & !1)
-        });
+        self.resp.accept(now, registry, || token(next, RESP_CLIENT));
+        if let Some(front) = &mut self.iscsi {
+            front.accept(now, registry, || token(next, ISCSI_CLIENT));
+        }
     }
 
     fn take_list(&mut self, message: ListMessage, kind: ListKind) {
-        let (event, unwanted) = self.nodes.take(message, kind, &self.zones);
+        let (event, unwanted) = self.nodes.take(message, kind);
         unwanted.into_iter().for_each(|node| self.targets.leave(node));
         self.core.tell(event);
     }
@@ -230,16 +272,25 @@
 
     fn carry_out(&mut self, now: Instant, effect: Effect) {
         match effect {
-            Effect::Answer { origin, answer } => self.front.answer(now, origin, answer, &mut self.core),
+            Effect::Answer { origin, answer } => match (origin.conn % 4, &mut self.iscsi) {
+                (ISCSI_CLIENT, Some(front)) => front.answer(now, origin, answer, &mut self.core),
+                _ => self.resp.answer(now, origin, answer, &mut self.core),
+            },
             Effect::Stop { attempt, outcome } => self.targets.stop(attempt, outcome),
             Effect::Start { attempt, node, content, give_up_at } => {
-                let Some((address, _)) = self.nodes.known.get(&node).copied() else {
+                let Some((endpoint, _)) = self.nodes.known.get(&node) else {
                     return self.core.attempt_ended(now, attempt, Ended::bare(Outcome::NotConnected));
                 };
-                self.next_token += 2;
-                let (token, registry) = (Token(self.next_token | 1), self.poll.registry());
-                self.targets.start(now, attempt, (node, address), &content, give_up_at, token, registry);
+                let start = Start { attempt, node, content, give_up_at };
+                let token = token(&mut self.next_token, TARGET);
+                self.targets.start(now, start, endpoint, token, self.poll.registry());
             }
         }
     }
 }
+
+/// A token that was never given out.
+fn token(last: &mut usize, kind: usize) -> Token {
+    *last += 4;
+    Token(*last + kind)
+}
--- /dev/null
+++ b/src/front/iscsi.rs
@@ -0,0 +1,580 @@
+//! Clients that speak iSCSI (RFC 7143): this front is the target, with one connection to a session.
+//!
+//! A transfer becomes a request of the core. Refused is SCSI BUSY with a retry delay in the status qualifier,
+//! failed is CHECK CONDITION; whatever else a client asks for is answered here.
+
+use super::{Closing, Intake, Protocol};
+use crate::config::iscsi::{Export, Iscsi, Unit};
+use crate::core::{Answer, Content, Extent, Operation};
+use crate::interface::{NewRequest, RequestId};
+use crate::iscsi::pdu::{is_before, FINAL, HEADER, NO_TAG};
+use crate::iscsi::scsi::{self, Cdb, Sense};
+use crate::iscsi::{text, Opcode, Pdu};
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Commands that a session may have open: the CmdSN window.
+const WINDOW: u32 = 16;
+/// Largest data segment that is accepted.
+const MOST_DATA: usize = 64 * 1024;
+/// What an initiator accepts unless it says otherwise (RFC 7143, 13.12).
+const DEFAULT_SEGMENT: usize = 8192;
+const FIRST_BURST: usize = 64 * 1024;
+const MAX_BURST: usize = 256 * 1024;
+/// Login stages.
+const OPERATIONAL: u8 = 1;
+const FULL_FEATURE: u8 = 3;
+/// Reasons of a Reject.
+const PROTOCOL_ERROR: u8 = 0x04;
+const NOT_SUPPORTED: u8 = 0x05;
+const INVALID_PDU_FIELD: u8 = 0x09;
+
+/// iSCSI, with the targets that are offered.
+pub struct Target {
+    config: Iscsi,
+    /// How long the requests of a class wait: iSCSI states no deadline.
+    patience: Vec<Duration>,
+    /// When a client is to come again whose request was declined.
+    retry_after: Duration,
+    /// The last id given to a request: nodes of the other wire want one that no other request has.
+    last_id: Cell<u64>,
+}
+
+impl Target {
+    /// `seed` keeps the ids of initiators apart.
+    pub fn new(config: Iscsi, patience: Vec<Duration>, retry_after: Duration, seed: u64) -> Self {
+        Target { config, patience, retry_after, last_id: Cell::new(seed) }
+    }
+}
+
+/// One session.
+pub struct Session {
+    /// Position of the target that was logged in to; none in a discovery session.
+    target: Option<usize>,
+    logged_in: bool,
+    expected_cmd_sn: u32,
+    stat_sn: u32,
+    /// Largest data segment that the initiator accepts.
+    segment: usize,
+    max_burst: usize,
+    tasks: HashMap<u64, Task>,
+    next_place: u64,
+}
+
+/// A transfer that has no status yet.
+struct Task {
+    tag: u32,
+    lun: [u8; 8],
+    /// Its expected data transfer length.
+    expected: usize,
+    /// Once all its data came.
+    request: Option<RequestId>,
+    transfer: Transfer,
+    /// Data of a write so far, and the number of R2Ts sent for more.
+    body: Vec<u8>,
+    r2ts: u32,
+}
+
+#[derive(Clone, Copy)]
+struct Transfer {
+    target: usize,
+    lun: u16,
+    write: bool,
+    block: u64,
+    blocks: u32,
+}
+
+impl Protocol for Target {
+    type Session = Session;
+
+    fn session(&self) -> Session {
+        Session {
+            target: None,
+            logged_in: false,
+            expected_cmd_sn: 0,
+            stat_sn: 1,
+            segment: DEFAULT_SEGMENT,
+            max_burst: MAX_BURST,
+            tasks: HashMap::new(),
+            next_place: 0,
+        }
+    }
+
+    fn take(
+        &self,
+        session: &mut Session,
+        input: &[u8],
+        output: &mut Vec<u8>,
+        intake: &mut Intake,
+    ) -> Result<usize, Closing> {
+        let (pdu, length) = match Pdu::parse(input, MOST_DATA) {
+            Ok(None) => return Ok(0),
+            Ok(Some(whole)) => whole,
+            Err(_) => {
+                // The framing is lost: what would follow is data, not a header.
+                let header = input.first_chunk::<HEADER>().map(|header| header.to_vec()).unwrap_or_default();
+                session.reject(INVALID_PDU_FIELD, header, output);
+                return Err(Closing);
+            }
+        };
+        if !session.logged_in {
+            return self.login(session, &pdu, output).map(|()| length);
+        }
+        let opcode = pdu.opcode();
+        if opcode != Some(Opcode::DataOut) && !pdu.is_immediate() {
+            let (sn, expected) = (pdu.u32(24), session.expected_cmd_sn);
+            if is_before(sn, expected) || !is_before(sn, session.max_cmd_sn().wrapping_add(1)) {
+                // Outside the window, a repeat among them: RFC 7143, 4.2.2.1 wants it ignored.
+                return Ok(length);
+            }
+            if sn != expected {
+                // One connection carries all commands in order: the one between will never come.
+                session.reject(PROTOCOL_ERROR, pdu.header.to_vec(), output);
+                return Err(Closing);
+            }
+            session.expected_cmd_sn = expected.wrapping_add(1);
+        }
+        match opcode {
+            Some(Opcode::ScsiCommand) => self.command(session, pdu, output, intake),
+            Some(Opcode::DataOut) => self.data_out(session, pdu, output, intake)?,
+            Some(Opcode::NopOut) if pdu.task_tag() != NO_TAG => {
+                let nop = Pdu::new(Opcode::NopIn, pdu.task_tag()).with(20, NO_TAG).with_data(pdu.data);
+                session.respond(nop, output);
+            }
+            Some(Opcode::NopOut) => {}
+            Some(Opcode::TextRequest) => self.text(session, &pdu, output),
+            Some(Opcode::TaskManagementRequest) => session.manage(&pdu, output, intake),
+            Some(Opcode::LogoutRequest) => {
+                session.drop_tasks(intake, |_| true);
+                session.respond(Pdu::new(Opcode::LogoutResponse, pdu.task_tag()), output);
+                return Err(Closing);
+            }
+            Some(Opcode::LoginRequest) => {
+                session.reject(PROTOCOL_ERROR, pdu.header.to_vec(), output);
+                return Err(Closing);
+            }
+            _ => session.reject(NOT_SUPPORTED, pdu.header.to_vec(), output),
+        }
+        Ok(length)
+    }
+
+    fn answer(&self, session: &mut Session, place: u64, answer: Answer, output: &mut Vec<u8>) {
+        let Some(task) = session.tasks.remove(&place) else { return };
+        match answer {
+            Answer::Served(_) if task.transfer.write => {
+                session.status(&task, scsi::GOOD, 0, Vec::new(), output)
+            }
+            Answer::Served(value) => session.data_in(&task, &value, output),
+            Answer::Refused { retry_after } => {
+                session.status(&task, scsi::BUSY, scsi::retry_delay(retry_after), Vec::new(), output);
+            }
+            Answer::Failed => session.sense(&task, scsi::COMMUNICATION_FAILURE, output),
+        }
+    }
+
+    fn open(&self, session: &Session) -> Vec<RequestId> {
+        session.tasks.values().filter_map(|task| task.request).collect()
+    }
+
+    fn is_idle(&self, session: &Session) -> bool {
+        session.tasks.is_empty()
+    }
+
+    fn makes_room(&self, session: &Session) -> bool {
+        // An initiator counts on its session between commands; a connection that never logged in is nobody's.
+        !session.logged_in
+    }
+}
+
+// ---------------------------------------------------------------- login and text
+
+impl Target {
+    fn login(&self, session: &mut Session, pdu: &Pdu, output: &mut Vec<u8>) -> Result<(), Closing> {
+        if pdu.opcode() != Some(Opcode::LoginRequest) {
+            return Err(Closing);
+        }
+        let (transit, stage, next) = (pdu.flags() & FINAL != 0, pdu.flags() >> 2 & 3, pdu.flags() & 3);
+        session.expected_cmd_sn = pdu.u32(24);
+        let answer = text::read(&pdu.data).map_err(|_| (2, 0)).and_then(|keys| {
+            let partial = pdu.flags() & 0x40 != 0;
+            if partial || stage > OPERATIONAL || (transit && next <= stage) {
+                return Err((2, 0));
+            }
+            self.negotiate(session, &keys)
+        });
+        let mut response = Pdu::new(Opcode::LoginResponse, pdu.task_tag()).with_flags(stage << 2);
+        response.header[8..14].copy_from_slice(&pdu.header[8..14]);
+        match answer {
+            Ok(keys) => {
+                let keys: Vec<_> = keys.iter().map(|(name, value)| (*name, value.as_str())).collect();
+                response.data = text::write(&keys);
+                if transit {
+                    response.header[1] |= FINAL | next;
+                    response.header[15] = 1;
+                    session.logged_in = next == FULL_FEATURE;
+                }
+                session.respond(response, output);
+                Ok(())
+            }
+            Err((class, detail)) => {
+                (response.header[36], response.header[37]) = (class, detail);
+                session.respond(response, output);
+                Err(Closing)
+            }
+        }
+    }
+
+    /// The answers to what an initiator offers; an error is the status class and detail of the login.
+    fn negotiate(
+        &self,
+        session: &mut Session,
+        keys: &[(String, String)],
+    ) -> Result<Vec<(&'static str, String)>, (u8, u8)> {
+        let mut answers = Vec::new();
+        let is_discovery = text::get(keys, "SessionType") == Some("Discovery");
+        if let Some(name) = text::get(keys, "TargetName") {
+            let found = self.config.exports.iter().position(|export| export.name == name);
+            session.target = Some(found.ok_or((2, 3))?);
+            answers.push(("TargetPortalGroupTag", "1".to_string()));
+        }
+        let at_least = |value: &str, most: usize| value.parse().map_or(most, |offer: usize| offer.min(most));
+        for (name, value) in keys {
+            let (name, answer) = match name.as_str() {
+                "InitiatorName" | "InitiatorAlias" | "SessionType" | "TargetName" => continue,
+                "MaxRecvDataSegmentLength" => {
+                    session.segment = at_least(value, MOST_DATA).max(512);
+                    ("MaxRecvDataSegmentLength", MOST_DATA.to_string())
+                }
+                "MaxBurstLength" => {
+                    session.max_burst = at_least(value, MAX_BURST).max(512);
+                    ("MaxBurstLength", session.max_burst.to_string())
+                }
+                "FirstBurstLength" => ("FirstBurstLength", at_least(value, FIRST_BURST).to_string()),
+                "AuthMethod" => ("AuthMethod", "None".to_string()),
+                "HeaderDigest" => ("HeaderDigest", "None".to_string()),
+                "DataDigest" => ("DataDigest", "None".to_string()),
+                "InitialR2T" => ("InitialR2T", "Yes".to_string()),
+                "ImmediateData" => ("ImmediateData", value.clone()),
+                "DataPDUInOrder" => ("DataPDUInOrder", "Yes".to_string()),
+                "DataSequenceInOrder" => ("DataSequenceInOrder", "Yes".to_string()),
+                "MaxConnections" => ("MaxConnections", "1".to_string()),
+                "MaxOutstandingR2T" => ("MaxOutstandingR2T", "1".to_string()),
+                "ErrorRecoveryLevel" => ("ErrorRecoveryLevel", "0".to_string()),
+                "DefaultTime2Wait" => ("DefaultTime2Wait", value.clone()),
+                "DefaultTime2Retain" => ("DefaultTime2Retain", "0".to_string()),
+                "iSCSIProtocolLevel" => ("iSCSIProtocolLevel", at_least(value, 2).to_string()),
+                _ => continue,
+            };
+            answers.push((name, answer));
+        }
+        if session.target.is_none() && !is_discovery && text::get(keys, "InitiatorName").is_some() {
+            // A normal session names its target in its first request.
+            return Err((2, 7));
+        }
+        Ok(answers)
+    }
+
+    /// SendTargets: the names that are offered, at the address that the client has already.
+    fn text(&self, session: &mut Session, pdu: &Pdu, output: &mut Vec<u8>) {
+        let asked = text::read(&pdu.data).unwrap_or_default();
+        let wanted = text::get(&asked, "SendTargets");
+        let offered = |export: &&Export| wanted == Some("All") || wanted == Some(export.name.as_str());
+        let names: Vec<_> = self
+            .config
+            .exports
+            .iter()
+            .filter(offered)
+            .map(|export| ("TargetName", export.name.as_str()))
+            .collect();
+        let response = Pdu::new(Opcode::TextResponse, pdu.task_tag()).with(20, NO_TAG);
+        session.respond(response.with_data(text::write(&names)), output);
+    }
+}
+
+// ---------------------------------------------------------------- commands
+
+impl Target {
+    fn unit(&self, transfer: Transfer) -> &Unit {
+        &self.config.exports[transfer.target].units[&transfer.lun]
+    }
+
+    fn command(&self, session: &mut Session, pdu: Pdu, output: &mut Vec<u8>, intake: &mut Intake) {
+        let mut cdb = [0; 16];
+        cdb.copy_from_slice(&pdu.header[32..48]);
+        let mut task = Task {
+            tag: pdu.task_tag(),
+            lun: pdu.lun(),
+            expected: pdu.u32(20) as usize,
+            request: None,
+            transfer: Transfer { target: 0, lun: 0, write: false, block: 0, blocks: 0 },
+            body: pdu.data,
+            r2ts: 0,
+        };
+        let export = session.target.map(|target| (target, &self.config.exports[target]));
+        let lun = scsi::lun_of(task.lun);
+        let place = export.and_then(|(target, export)| Some((target, lun?, export.units.get(&lun?)?)));
+        let value = match (Cdb::parse(&cdb), place, export) {
+            (Ok(Cdb::ReportLuns), _, Some((_, export))) => report_luns(export),
+            (_, None, _) => return session.sense(&task, scsi::NO_SUCH_UNIT, output),
+            (Err(sense), _, _) => return session.sense(&task, sense, output),
+            (Ok(Cdb::Transfer { write, block, blocks }), Some((target, lun, unit)), _) => {
+                task.transfer = Transfer { target, lun, write, block, blocks };
+                if let Err(sense) = check_transfer(unit, &task) {
+                    return session.sense(&task, sense, output);
+                }
+                if blocks > 0 {
+                    let place = session.next_place;
+                    session.next_place += 1;
+                    return self.proceed(session, place, task, output, intake);
+                }
+                Vec::new()
+            }
+            (Ok(Cdb::Inquiry(page)), Some(_), _) => match inquiry(page) {
+                Some(data) => data,
+                None => return session.sense(&task, scsi::INVALID_FIELD, output),
+            },
+            (Ok(Cdb::ReadCapacity { long }), Some((_, _, unit)), _) => read_capacity(unit, long),
+            (Ok(_), _, _) => Vec::new(),
+        };
+        session.data_in(&task, &value, output);
+    }
+
+    /// Asks for the data that are still missing, or hands the whole request to the core.
+    fn proceed(
+        &self,
+        session: &mut Session,
+        place: u64,
+        mut task: Task,
+        output: &mut Vec<u8>,
+        intake: &mut Intake,
+    ) {
+        if task.transfer.write && task.body.len() < task.expected {
+            let length = (task.expected - task.body.len()).min(session.max_burst) as u32;
+            let mut r2t = Pdu::new(Opcode::R2t, task.tag)
+                .with(20, place as u32)
+                .with(24, session.stat_sn)
+                .with(36, task.r2ts)
+                .with(40, task.body.len() as u32)
+                .with(44, length);
+            r2t.header[8..16].copy_from_slice(&task.lun);
+            task.r2ts += 1;
+            session.tasks.insert(place, task);
+            return session.write(r2t, output);
+        }
+        let (new, content) = self.request(&mut task);
+        let patience = self.patience[new.class];
+        task.request = intake.take(place, new, patience, content);
+        match task.request {
+            Some(_) => drop(session.tasks.insert(place, task)),
+            None => {
+                session.status(&task, scsi::BUSY, scsi::retry_delay(self.retry_after), Vec::new(), output);
+            }
+        }
+    }
+
+    /// The request that a transfer stands for.
+    fn request(&self, task: &mut Task) -> (NewRequest, Content) {
+        let transfer = task.transfer;
+        let unit = self.unit(transfer);
+        let bulk = unit.bulk.filter(|(from, _)| transfer.blocks >= *from).map(|(_, class)| class);
+        let class = if transfer.write { unit.write_class } else { bulk.unwrap_or(unit.read_class) };
+        // Pieces of different volumes must not share a name.
+        let key = unit.volume.0.rotate_left(32) ^ transfer.block;
+        let new = NewRequest {
+            class,
+            plan: unit.plan,
+            volume: unit.volume,
+            key,
+            units: unit.units_of(transfer.blocks),
+            shard: Some(unit.shard),
+            volume_hosts: unit.hosts,
+            ..NewRequest::default()
+        };
+        self.last_id.set(self.last_id.get().wrapping_add(1));
+        let id = format!("{:016x}", self.last_id.get());
+        let mut attributes = unit.attributes(class, &new);
+        if transfer.write {
+            attributes += &format!(",k={id}");
+        }
+        let content = Content {
+            operation: if transfer.write { Operation::Write } else { Operation::Read },
+            object: format!("{key:016x}"),
+            id,
+            attributes,
+            body: std::mem::take(&mut task.body),
+            extent: Some(Extent {
+                lun: unit.storage_lun,
+                block: transfer.block,
+                blocks: transfer.blocks,
+                block_bytes: unit.block_bytes,
+            }),
+        };
+        (new, content)
+    }
+
+    fn data_out(
+        &self,
+        session: &mut Session,
+        pdu: Pdu,
+        output: &mut Vec<u8>,
+        intake: &mut Intake,
+    ) -> Result<(), Closing> {
+        let place = session.tasks.iter().find(|(_, it)| it.tag == pdu.task_tag() && it.request.is_none());
+        let Some(place) = place.map(|(place, _)| *place) else {
+            // Data for a task that was ended meanwhile.
+            return Ok(());
+        };
+        let Some(mut task) = session.tasks.remove(&place) else { return Ok(()) };
+        let in_order = pdu.u32(20) == place as u32 && pdu.u32(40) as usize == task.body.len();
+        if !in_order || task.body.len() + pdu.data.len() > task.expected {
+            session.reject(PROTOCOL_ERROR, pdu.header.to_vec(), output);
+            session.sense(&task, scsi::INVALID_FIELD, output);
+            return Ok(());
+        }
+        task.body.extend_from_slice(&pdu.data);
+        if pdu.flags() & FINAL == 0 {
+            session.tasks.insert(place, task);
+        } else {
+            self.proceed(session, place, task, output, intake);
+        }
+        Ok(())
+    }
+}
+
+impl Session {
+    /// The last command that the session takes: fewer the more it has open.
+    fn max_cmd_sn(&self) -> u32 {
+        self.expected_cmd_sn.wrapping_add(WINDOW.saturating_sub(self.tasks.len() as u32)).wrapping_sub(1)
+    }
+
+    fn write(&self, mut pdu: Pdu, output: &mut Vec<u8>) {
+        pdu.set_u32(28, self.expected_cmd_sn);
+        pdu.set_u32(32, self.max_cmd_sn());
+        pdu.write(output);
+    }
+
+    /// Writes a PDU that takes a status number.
+    fn respond(&mut self, mut pdu: Pdu, output: &mut Vec<u8>) {
+        pdu.set_u32(24, self.stat_sn);
+        self.stat_sn = self.stat_sn.wrapping_add(1);
+        self.write(pdu, output);
+    }
+
+    fn reject(&mut self, reason: u8, header: Vec<u8>, output: &mut Vec<u8>) {
+        let mut reject = Pdu::new(Opcode::Reject, NO_TAG).with_data(header);
+        reject.header[2] = reason;
+        self.respond(reject, output);
+    }
+
+    fn status(&mut self, task: &Task, status: u8, qualifier: u16, sense: Vec<u8>, output: &mut Vec<u8>) {
+        let mut response = Pdu::new(Opcode::ScsiResponse, task.tag).with_data(sense);
+        response.header[3] = status;
+        response.header[8..10].copy_from_slice(&qualifier.to_be_bytes());
+        self.respond(response, output);
+    }
+
+    fn sense(&mut self, task: &Task, sense: Sense, output: &mut Vec<u8>) {
+        self.status(task, scsi::CHECK_CONDITION, 0, sense.data(), output);
+    }
+
+    /// Data in pieces that the initiator accepts; the last carries the status.
+    fn data_in(&mut self, task: &Task, value: &[u8], output: &mut Vec<u8>) {
+        let sent = &value[..value.len().min(task.expected)];
+        if sent.is_empty() {
+            return self.status(task, scsi::GOOD, 0, Vec::new(), output);
+        }
+        let (under, over) = (task.expected - sent.len(), value.len() - sent.len());
+        let count = sent.len().div_ceil(self.segment);
+        for (number, piece) in sent.chunks(self.segment).enumerate() {
+            let mut pdu = Pdu::new(Opcode::DataIn, task.tag)
+                .with_flags(0)
+                .with(20, NO_TAG)
+                .with(36, number as u32)
+                .with(40, (number * self.segment) as u32)
+                .with_data(piece);
+            if number + 1 < count {
+                self.write(pdu, output);
+                continue;
+            }
+            let residual = if over > 0 { 0x04 } else { 0x02 };
+            pdu.header[1] = FINAL | 0x01 | if under + over > 0 { residual } else { 0 };
+            pdu.set_u32(44, (under + over) as u32);
+            self.respond(pdu, output);
+        }
+    }
+
+    /// ABORT TASK and ABORT TASK SET; other functions are not supported.
+    fn manage(&mut self, pdu: &Pdu, output: &mut Vec<u8>, intake: &mut Intake) {
+        let tag = pdu.u32(20);
+        let mut response = Pdu::new(Opcode::TaskManagementResponse, pdu.task_tag());
+        response.header[2] = match pdu.flags() & 0x7f {
+            1 => u8::from(self.drop_tasks(intake, |task| task.tag == tag) == 0),
+            2 => {
+                self.drop_tasks(intake, |task| task.lun == pdu.lun());
+                0
+            }
+            _ => 5,
+        };
+        self.respond(response, output);
+    }
+
+    /// Forgets tasks that the client no longer waits for.
+    fn drop_tasks(&mut self, intake: &mut Intake, over: impl Fn(&Task) -> bool) -> usize {
+        let places: Vec<u64> =
+            self.tasks.iter().filter(|(_, task)| over(task)).map(|(place, _)| *place).collect();
+        for place in &places {
+            let task = self.tasks.remove(place);
+            if let Some(request) = task.and_then(|task| task.request) {
+                intake.core.client_gone(request);
+            }
+        }
+        places.len()
+    }
+}
+
+/// Whether a transfer fits its unit and what is taken at once.
+fn check_transfer(unit: &Unit, task: &Task) -> Result<(), Sense> {
+    let Transfer { write, block, blocks, .. } = task.transfer;
+    let end = block.checked_add(blocks.into()).filter(|end| *end <= unit.blocks);
+    end.ok_or(scsi::OUT_OF_RANGE)?;
+    let bytes = u64::from(blocks) * u64::from(unit.block_bytes);
+    let fits = bytes <= unit.most_bytes as u64 && (!write || bytes == task.expected as u64);
+    if fits && task.body.len() <= task.expected {
+        Ok(())
+    } else {
+        Err(scsi::INVALID_FIELD)
+    }
+}
+
+fn report_luns(export: &Export) -> Vec<u8> {
+    let mut data = ((export.units.len() * 8) as u32).to_be_bytes().to_vec();
+    data.extend([0; 4]);
+    export.units.keys().for_each(|lun| data.extend(scsi::lun_field(*lun)));
+    data
+}
+
+/// Standard data, or the list of the pages of vital product data.
+fn inquiry(page: Option<u8>) -> Option<Vec<u8>> {
+    match page {
+        None => {
+            let mut data = vec![0, 0, 6, 2, 31, 0, 0, 2];
+            data.extend(b"TOPAZ   topazpath       0001");
+            Some(data)
+        }
+        Some(0) => Some(vec![0, 0, 0, 1, 0]),
+        Some(_) => None,
+    }
+}
+
+fn read_capacity(unit: &Unit, long: bool) -> Vec<u8> {
+    let last = unit.blocks - 1;
+    let block_bytes = unit.block_bytes.to_be_bytes();
+    if long {
+        let mut data = [&last.to_be_bytes()[..], &block_bytes].concat();
+        data.resize(32, 0);
+        data
+    } else {
+        [u32::try_from(last).unwrap_or(u32::MAX).to_be_bytes(), block_bytes].concat()
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -192,6 +192,8 @@
     pub started: Millis,
     /// Its state.
     pub state: NodeState,
+    /// It gets no new objects, only what its shard holds.
+    pub fixed: bool,
 }
 
 /// What a message of the node list holds.
--- /dev/null
+++ b/src/iscsi/pdu.rs
@@ -0,0 +1,208 @@
+//! Protocol data units: a basic header segment of 48 bytes, and data padded to four.
+
+/// Bytes of a basic header segment.
+pub const HEADER: usize = 48;
+/// A tag that stands for none.
+pub const NO_TAG: u32 = 0xffff_ffff;
+/// The flag that ends a command, a sequence of data or a login stage.
+pub const FINAL: u8 = 0x80;
+
+/// Kinds of PDU, by the names of RFC 7143.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+#[allow(missing_docs)]
+pub enum Opcode {
+    NopOut = 0x00,
+    ScsiCommand = 0x01,
+    TaskManagementRequest = 0x02,
+    LoginRequest = 0x03,
+    TextRequest = 0x04,
+    DataOut = 0x05,
+    LogoutRequest = 0x06,
+    NopIn = 0x20,
+    ScsiResponse = 0x21,
+    TaskManagementResponse = 0x22,
+    LoginResponse = 0x23,
+    TextResponse = 0x24,
+    DataIn = 0x25,
+    LogoutResponse = 0x26,
+    R2t = 0x31,
+    AsyncMessage = 0x32,
+    Reject = 0x3f,
+}
+
+const OPCODES: [Opcode; 17] = [
+    Opcode::NopOut,
+    Opcode::ScsiCommand,
+    Opcode::TaskManagementRequest,
+    Opcode::LoginRequest,
+    Opcode::TextRequest,
+    Opcode::DataOut,
+    Opcode::LogoutRequest,
+    Opcode::NopIn,
+    Opcode::ScsiResponse,
+    Opcode::TaskManagementResponse,
+    Opcode::LoginResponse,
+    Opcode::TextResponse,
+    Opcode::DataIn,
+    Opcode::LogoutResponse,
+    Opcode::R2t,
+    Opcode::AsyncMessage,
+    Opcode::Reject,
+];
+
+/// One PDU. Offsets are those of the RFC's tables.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pdu {
+    /// The basic header segment. The data's length in it is set when the PDU is written.
+    pub header: [u8; HEADER],
+    /// The data segment, unpadded.
+    pub data: Vec<u8>,
+}
+
+impl Pdu {
+    /// An empty PDU of a kind for a task, with the final flag set.
+    pub fn new(opcode: Opcode, task_tag: u32) -> Self {
+        let mut pdu = Pdu { header: [0; HEADER], data: Vec::new() };
+        pdu.header[0] = opcode as u8;
+        pdu.header[1] = FINAL;
+        pdu.set_u32(16, task_tag);
+        pdu
+    }
+
+    /// With this data.
+    pub fn with_data(mut self, data: impl Into<Vec<u8>>) -> Self {
+        self.data = data.into();
+        self
+    }
+
+    /// With a four-byte field.
+    pub fn with(mut self, offset: usize, value: u32) -> Self {
+        self.set_u32(offset, value);
+        self
+    }
+
+    /// With these flags in its second byte.
+    pub fn with_flags(mut self, flags: u8) -> Self {
+        self.header[1] = flags;
+        self
+    }
+
+    /// Its kind, where that is known.
+    pub fn opcode(&self) -> Option<Opcode> {
+        OPCODES.into_iter().find(|opcode| *opcode as u8 == self.header[0] & 0x3f)
+    }
+
+    /// Delivered ahead of the command sequence.
+    pub fn is_immediate(&self) -> bool {
+        self.header[0] & 0x40 != 0
+    }
+
+    /// Flags of its second byte.
+    pub fn flags(&self) -> u8 {
+        self.header[1]
+    }
+
+    /// A four-byte field.
+    pub fn u32(&self, offset: usize) -> u32 {
+        u32::from_be_bytes([0, 1, 2, 3].map(|byte| self.header[offset + byte]))
+    }
+
+    /// Sets a four-byte field.
+    pub fn set_u32(&mut self, offset: usize, value: u32) {
+        self.header[offset..offset + 4].copy_from_slice(&value.to_be_bytes());
+    }
+
+    /// The initiator's tag of its task.
+    pub fn task_tag(&self) -> u32 {
+        self.u32(16)
+    }
+
+    /// The logical unit number field.
+    pub fn lun(&self) -> [u8; 8] {
+        [0, 1, 2, 3, 4, 5, 6, 7].map(|byte| self.header[8 + byte])
+    }
+
+    /// Adds its bytes to an output.
+    pub fn write(&self, output: &mut Vec<u8>) {
+        let start = output.len();
+        output.extend_from_slice(&self.header);
+        output[start + 4] = 0;
+        output[start + 5..start + 8].copy_from_slice(&(self.data.len() as u32).to_be_bytes()[1..]);
+        output.extend_from_slice(&self.data);
+        output.resize(start + HEADER + padded(self.data.len()), 0);
+    }
+
+    /// Reads the PDU at the start of the input: it and its length, or nothing while it is not whole. Additional
+    /// header segments are passed over. An error (data beyond `most`) means that the framing is lost.
+    pub fn parse(input: &[u8], most: usize) -> Result<Option<(Pdu, usize)>, String> {
+        let Some(header) = input.first_chunk::<HEADER>() else { return Ok(None) };
+        let length = u32::from_be_bytes([0, header[5], header[6], header[7]]) as usize;
+        if length > most {
+            return Err(format!("a data segment of {length} bytes, at most {most} are accepted"));
+        }
+        let start = HEADER + 4 * usize::from(header[4]);
+        let end = start + padded(length);
+        if input.len() < end {
+            return Ok(None);
+        }
+        Ok(Some((Pdu { header: *header, data: input[start..start + length].to_vec() }, end)))
+    }
+}
+
+fn padded(length: usize) -> usize {
+    length.next_multiple_of(4)
+}
+
+/// Whether sequence number `a` comes before `b` (RFC 1982 arithmetic on 32 bits).
+pub fn is_before(a: u32, b: u32) -> bool {
+    a != b && b.wrapping_sub(a) < 1 << 31
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_bytes_are_those_of_the_rfc() {
+        let mut bytes = Vec::new();
+        Pdu::new(Opcode::NopOut, 0x01020304).with(24, 7).with_data(*b"abcde").write(&mut bytes);
+        let mut wanted = [0u8; HEADER + 8];
+        wanted[1] = 0x80;
+        wanted[7] = 5;
+        wanted[16..20].copy_from_slice(&[1, 2, 3, 4]);
+        wanted[27] = 7;
+        wanted[HEADER..HEADER + 5].copy_from_slice(b"abcde");
+        assert_eq!(bytes, wanted);
+    }
+
+    #[test]
+    fn a_pdu_is_read_only_once_it_is_whole() {
+        let pdu = Pdu::new(Opcode::DataIn, 9).with_data(vec![7; 13]);
+        let mut bytes = Vec::new();
+        pdu.write(&mut bytes);
+        for cut in 0..bytes.len() {
+            assert_eq!(Pdu::parse(&bytes[..cut], 16), Ok(None));
+        }
+        let (read, length) = Pdu::parse(&bytes, 16).unwrap().unwrap();
+        assert_eq!(
+            (read.opcode(), read.task_tag(), read.data, length),
+            (Some(Opcode::DataIn), 9, pdu.data, 64)
+        );
+        assert!(Pdu::parse(&bytes, 12).is_err());
+    }
+
+    #[test]
+    fn sequence_numbers_wrap() {
+        assert!(is_before(u32::MAX, 0) && is_before(1, 2) && !is_before(2, 2) && !is_before(0, u32::MAX));
+    }
+
+    proptest::proptest! {
+        #[test]
+        fn any_bytes_are_read_or_declined(bytes in proptest::collection::vec(0u8.., 0..200)) {
+            if let Ok(Some((_, length))) = Pdu::parse(&bytes, 100) {
+                proptest::prop_assert!(length <= bytes.len());
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,7 +25,7 @@
 //!     ..Default::default()
 //! };
 //! let mut scheduler = Scheduler::new(settings, 7);
-//! let node = NodeEntry { node: NodeId(4), shard: 0, zone: 0, started: 0.0, state: NodeState::Ready };
+//! let node = NodeEntry { node: NodeId(4), shard: 0, zone: 0, started: 0.0, state: NodeState::Ready, fixed: false };
 //! let request = NewRequest {
 //!     id: RequestId(1),
 //!     class: 0,
@@ -52,8 +52,9 @@
 pub mod forwarder;
 mod front;
 pub mod interface;
+pub mod iscsi;
 mod planner;
-mod resp;
+pub mod resp;
 mod rules;
 pub mod settings;
 mod target;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,5 @@
-//! The initiator: one process, one thread. Its configuration is the file that `NODE_CONFIG` names.
+//! The initiator: one process, one thread. Its configuration is the file that `NODE_CONFIG` names; the second front's is
+//! `deploy/iscsi.toml`, or what `TOPAZPATH_ISCSI` names.
 
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
@@ -21,7 +22,8 @@
 
 fn run() -> Result<(), String> {
     let path = std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG does not name a configuration file")?;
-    let config = Config::read(&PathBuf::from(path))?;
+    let iscsi = std::env::var_os("TOPAZPATH_ISCSI").unwrap_or_else(|| "deploy/iscsi.toml".into());
+    let config = Config::read(&PathBuf::from(path), &PathBuf::from(iscsi))?;
     let (signal, wake) = UnixStream::pair().map_err(|error| format!("signal pipe: {error}"))?;
     for kind in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
         let wake = wake.try_clone().map_err(|error| format!("signal pipe: {error}"))?;
--- a/src/resp.rs
+++ b/src/resp.rs
@@ -9,6 +9,7 @@
 
 /// One RESP2 value.
 #[derive(Clone, Debug, PartialEq)]
+#[allow(missing_docs)]
 pub enum Value {
     Simple(Vec<u8>),
     Error(Vec<u8>),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -540,8 +540,8 @@
             let out = node.out.values().filter(|out| out.class == request.new.class).count();
             Some((out < node.bounds[request.new.class], -need, *id))
         };
-        let lanes = [Some(node.entry.shard), None].into_iter().filter_map(|shard| self.held.get(&shard));
-        let best = lanes.flatten().filter_map(rank);
+        let lanes = [Some(node.entry.shard), None].into_iter().take(2 - usize::from(node.entry.fixed));
+        let best = lanes.filter_map(|shard| self.held.get(&shard)).flatten().filter_map(rank);
         best.max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(b.2.cmp(&a.2))).map(|best| best.2)
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -64,7 +64,7 @@
 }
 
 pub fn node(id: u32, shard: u32) -> NodeEntry {
-    NodeEntry { node: NodeId(id), shard, zone: 0, started: 0.0, state: NodeState::Ready }
+    NodeEntry { node: NodeId(id), shard, zone: 0, started: 0.0, state: NodeState::Ready, fixed: false }
 }
 
 impl Host {
--- /dev/null
+++ b/tests/net/helper.rs
@@ -0,0 +1,349 @@
+//! Starts the program, and stands in for everything around it. Ports are the system's choice; waits end on a
+//! condition, with limits that only a hang reaches.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+use topazpath::resp::{self, Value};
+
+/// Longer than anything here takes on a loaded machine.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+const SETTINGS: &str = r#"{"siblings":1,"tick_ms":2.0,"discovery":"pushed","zones":["z"],
+ "classes":[
+  {"name":"read","aim_ms":400,"hard_limit_ms":DEADLINE,"worth":2,"late_worth":0.2,"effect":"read_like"},
+  {"name":"write","aim_ms":600,"hard_limit_ms":DEADLINE,"worth":3,"effect":"idempotency_key",
+   "key_scope":"cell","window_ms":5000}],
+ "service_levels":[
+  {"name":"base","base_rate":1000,"ceiling_rate":LIMIT,"guaranteed":100,"limit_burst":16,"tolerance":8},
+  {"name":"plus","base_rate":1000,"guaranteed":1000}],
+ "domain":{"largest":8,"unit_mean":2,"share_worth":0.35,"idle_worth":0.05,"young_limit":34},
+ "contract":{"grace_to_answer_ms":8,"drain_grace_ms":2000,"cold_from":0.16,"warm_after_ms":18000,
+  "tip_multiple":3,"fall_ms":3000},
+ "limits":{"attempts_cap":4,"connect_timeout_ms":250,"conn_idle_ms":30000,"max_retry_after_ms":500,
+  "retry_after":true,"may_cancel":true}}"#;
+
+/// How the program is set up for a test.
+#[derive(Clone, Default)]
+pub struct Setup {
+    pub deadline_ms: u64,
+    /// Units a second that a volume of `base` may take.
+    pub limit: u64,
+    pub iscsi: String,
+}
+
+/// The running program.
+pub struct Program {
+    child: Child,
+    pub resp: SocketAddr,
+    pub iscsi: Option<SocketAddr>,
+    files: std::path::PathBuf,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.files);
+    }
+}
+
+/// A command that would start the program with these files.
+pub fn command(config: &str, iscsi: &str) -> (Command, std::path::PathBuf) {
+    static COUNT: Mutex<u32> = Mutex::new(0);
+    let mut count = COUNT.lock().unwrap();
+    *count += 1;
+    let files = std::env::temp_dir().join(format!("topazpath-test-{}-{count}", std::process::id()));
+    std::fs::create_dir_all(&files).unwrap();
+    std::fs::write(files.join("config.json"), config).unwrap();
+    if !iscsi.is_empty() {
+        std::fs::write(files.join("iscsi.toml"), iscsi).unwrap();
+    }
+    let mut command = Command::new(env!("CARGO_BIN_EXE_topazpath"));
+    command.env("NODE_CONFIG", files.join("config.json")).env("TOPAZPATH_ISCSI", files.join("iscsi.toml"));
+    command.env("TOPAZPATH_LOG", "info").stderr(Stdio::piped());
+    (command, files)
+}
+
+impl Program {
+    pub fn start(discovery: &Discovery, setup: Setup) -> Program {
+        let deadline = if setup.deadline_ms == 0 { 5000 } else { setup.deadline_ms };
+        let settings = SETTINGS.replace("DEADLINE", &deadline.to_string());
+        let settings = settings.replace("LIMIT", &setup.limit.to_string());
+        let config = format!(
+            r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
+             "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":null,"settings":{settings}}}"#,
+            discovery.address
+        );
+        let (mut command, files) = command(&config, &setup.iscsi);
+        let mut child = command.spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        while !line.contains("started") {
+            let before = std::mem::take(&mut line);
+            assert!(log.read_line(&mut line).unwrap() > 0, "the program ended early: {before}");
+        }
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        let address = |name: &str| {
+            let text = line.split_once(&format!("{name}=Some("))?.1.split(')').next()?;
+            text.parse().ok()
+        };
+        let program =
+            Program { child, resp: address("resp").expect("its address"), iscsi: address("iscsi"), files };
+        discovery.wait_for_watch();
+        program
+    }
+
+    pub fn terminate(&self) {
+        Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        eventually("the program ends", || self.child.try_wait().unwrap())
+    }
+}
+
+/// Waits until there is something.
+pub fn eventually<T>(what: &str, mut check: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(found) = check() {
+            return found;
+        }
+        assert!(start.elapsed() < PATIENCE, "never came true: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Serves each connection of a listener on a thread of its own; returns its address.
+pub fn serve(talk: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let talk = Arc::new(talk);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            stream.set_nodelay(true).unwrap();
+            let talk = talk.clone();
+            thread::spawn(move || talk(stream));
+        }
+    });
+    address
+}
+
+/// A node list that the test changes.
+pub struct Discovery {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Default)]
+struct State {
+    index: u64,
+    body: String,
+    /// Version after which the last watch asked.
+    watched: Option<u64>,
+    /// How often the whole list was asked for.
+    fetched: u32,
+}
+
+impl Discovery {
+    /// With nodes as (name, address, shard), all active.
+    pub fn start(nodes: &[(&str, SocketAddr, u32)]) -> Discovery {
+        let lines: Vec<String> =
+            nodes.iter().map(|(name, address, shard)| line(name, *address, *shard, "active")).collect();
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = state.clone();
+        let address = serve(move |stream| {
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            let mut stream = stream;
+            loop {
+                let mut head = String::new();
+                while !head.ends_with("\r\n\r\n") {
+                    if reader.read_line(&mut head).unwrap_or(0) == 0 {
+                        return;
+                    }
+                }
+                let after: Option<u64> =
+                    head.split_once("after=").and_then(|(_, rest)| rest.split('&').next()?.parse().ok());
+                shared.lock().unwrap().fetched += u32::from(after.is_none());
+                let body = loop {
+                    let mut state = shared.lock().unwrap();
+                    state.watched = state.watched.max(after);
+                    if after.is_none_or(|after| state.index > after) {
+                        break state.body.clone();
+                    }
+                    drop(state);
+                    thread::sleep(Duration::from_millis(1));
+                };
+                if write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).is_err()
+                {
+                    return;
+                }
+            }
+        });
+        let discovery = Discovery { address, state };
+        discovery.tell(true, &lines);
+        discovery
+    }
+
+    /// Tells lines: the whole list or changes.
+    pub fn tell(&self, snapshot: bool, lines: &[String]) {
+        let mut state = self.state.lock().unwrap();
+        state.index += 1;
+        let (index, lines) = (state.index, lines.join(","));
+        state.body = format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{lines}]}}"#);
+    }
+
+    /// Tells something that is no list, and waits until the program has asked again.
+    pub fn tell_nonsense(&self) {
+        let before = {
+            let mut state = self.state.lock().unwrap();
+            state.index += 1;
+            state.body = "{\"index\":".into();
+            state.fetched
+        };
+        eventually("the whole list is asked for", || {
+            (self.state.lock().unwrap().fetched > before).then_some(())
+        });
+    }
+
+    /// Waits until the program has heard of the present version.
+    pub fn wait_for_watch(&self) {
+        eventually("the list is taken", || {
+            let state = self.state.lock().unwrap();
+            (state.watched == Some(state.index)).then_some(())
+        });
+    }
+}
+
+/// A line of the node list.
+pub fn line(name: &str, address: SocketAddr, shard: u32, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"z","type":"t","group":{shard},"status":"{status}",
+         "weight":1.0,"since_ms":0}}"#
+    )
+}
+
+/// What a stand-in node does with a command.
+pub enum Reply {
+    Value(Vec<u8>),
+    Line(&'static str),
+    Silent,
+    Close,
+}
+
+/// A stand-in RESP2 node, which remembers the commands it was sent.
+pub struct Node {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Vec<Vec<String>>>>,
+}
+
+impl Node {
+    pub fn start(reply: impl Fn(usize, &[Vec<u8>]) -> Reply + Send + Sync + 'static) -> Node {
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let shared = seen.clone();
+        let address = serve(move |stream| {
+            let mut client = Client::of(stream);
+            while let Some(Value::Array(Some(words))) = client.try_receive() {
+                let words: Vec<Vec<u8>> = words.into_iter().map(bytes).collect();
+                let count = {
+                    let mut seen = shared.lock().unwrap();
+                    seen.push(words.iter().map(|word| String::from_utf8_lossy(word).into_owned()).collect());
+                    seen.len()
+                };
+                match reply(count, &words) {
+                    Reply::Value(value) => {
+                        let mut answer = b"*3\r\n".to_vec();
+                        resp::bulk(&mut answer, &value);
+                        answer.extend(b"$-1\r\n$-1\r\n");
+                        client.write(&answer);
+                    }
+                    Reply::Line(line) => client.write(format!("{line}\r\n").as_bytes()),
+                    Reply::Silent => {}
+                    Reply::Close => return,
+                }
+            }
+        });
+        Node { address, seen }
+    }
+
+    /// A node that answers each read with its piece and each write with nothing.
+    pub fn echo() -> Node {
+        Node::start(|_, words| Reply::Value(words[if words.len() == 4 { 1 } else { 4 }].clone()))
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.lock().unwrap().len()
+    }
+}
+
+pub fn bytes(value: Value) -> Vec<u8> {
+    match value {
+        Value::Bulk(Some(bytes)) => bytes,
+        other => panic!("not a bulk string: {other:?}"),
+    }
+}
+
+/// A RESP2 connection.
+pub struct Client {
+    stream: TcpStream,
+    input: Vec<u8>,
+}
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> Client {
+        Client::of(TcpStream::connect(address).unwrap())
+    }
+
+    fn of(stream: TcpStream) -> Client {
+        Client { stream, input: Vec::new() }
+    }
+
+    /// Writes as much as the far side still takes.
+    pub fn write(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes);
+    }
+
+    pub fn send(&mut self, words: &[&[u8]]) {
+        self.write(&resp::command(words));
+    }
+
+    /// A read, or with a body a write, of a piece on a shard.
+    pub fn ask(&mut self, piece: u64, shard: i32, more: &str, body: Option<&[u8]>) {
+        let class = if body.is_some() { "write" } else { "read" };
+        let list =
+            format!("c={class},t=plus,d=2000,volume=00000000000000a0,units=2,shard={shard},hosts=1{more}");
+        let piece = format!("{piece:016x}");
+        let id = format!("{:016x}", self.input.as_ptr() as u64);
+        let mut words = vec![&b"OBJ.GET"[..], piece.as_bytes(), id.as_bytes(), list.as_bytes()];
+        if let Some(body) = body {
+            words[0] = b"OBJ.PUT";
+            words.push(body);
+        }
+        self.send(&words);
+    }
+
+    /// The next value, or nothing at the end of the connection.
+    pub fn try_receive(&mut self) -> Option<Value> {
+        self.stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        loop {
+            if let Some((value, length)) = resp::parse(&self.input).expect("RESP2") {
+                self.input.drain(..length);
+                return Some(value);
+            }
+            let mut bytes = [0; 65536];
+            match self.stream.read(&mut bytes) {
+                Ok(0) | Err(_) => return None,
+                Ok(count) => self.input.extend(&bytes[..count]),
+            }
+        }
+    }
+
+    pub fn receive(&mut self) -> Value {
+        self.try_receive().expect("an answer")
+    }
+}
--- /dev/null
+++ b/tests/net/main.rs
@@ -0,0 +1,5 @@
+//! The real program as a process, spoken to as its clients, nodes, storage and discovery would.
+
+mod helper;
+mod iscsi;
+mod resp;
--- /dev/null
+++ b/tests/net/resp.rs
@@ -0,0 +1,181 @@
+//! The platform's front and nodes.
+
+use crate::helper::*;
+use std::process::Stdio;
+use std::thread;
+use std::time::{Duration, Instant};
+use topazpath::resp::Value;
+
+fn bulk(bytes: &[u8]) -> Value {
+    Value::Bulk(Some(bytes.to_vec()))
+}
+
+fn error_of(value: Value) -> String {
+    match value {
+        Value::Error(line) => String::from_utf8(line).unwrap(),
+        other => panic!("not an error: {other:?}"),
+    }
+}
+
+#[test]
+fn values_pass_byte_for_byte_and_answers_keep_the_order_of_commands() {
+    let node = Node::start(|_, words| {
+        if words[1].ends_with(b"1") {
+            thread::sleep(Duration::from_millis(150));
+        }
+        Reply::Value(words.get(4).cloned().unwrap_or_else(|| words[1].clone()))
+    });
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    let body: Vec<u8> = (0..64 * 1024).map(|byte| byte as u8).collect();
+    client.ask(1, 3, "", None);
+    client.ask(2, -1, ",k=00000000000000b1", Some(&body));
+    client.send(&[b"PING"]);
+    assert_eq!(client.receive(), bulk(b"0000000000000001"));
+    assert_eq!(client.receive(), bulk(&body));
+    assert_eq!(client.receive(), Value::Simple(b"PONG".to_vec()));
+    let seen = node.seen.lock().unwrap();
+    let write = seen.iter().find(|words| words[0] == "OBJ.PUT").unwrap();
+    assert!(write[3].contains(",shard=-1,hosts=1,k=00000000000000b1,d="), "{}", write[3]);
+}
+
+#[test]
+fn a_broken_connection_after_the_last_byte_may_have_run_and_is_repeated_only_with_its_key() {
+    let node = Node::start(|count, _| if count == 1 { Reply::Close } else { Reply::Value(b"v".to_vec()) });
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    client.ask(1, -1, ",k=00000000000000b1", Some(b"x"));
+    assert_eq!(client.receive(), bulk(b"v"));
+    let seen = node.seen.lock().unwrap();
+    assert_eq!(seen.len(), 2);
+    assert_eq!(seen[0][..3], seen[1][..3]);
+    assert!(seen.iter().all(|words| words[3].contains("k=00000000000000b1")));
+}
+
+#[test]
+fn errors_and_refusals_of_nodes_follow_the_outcome_table() {
+    let node = Node::start(|_, words| match words[1].last() {
+        Some(b'1') => Reply::Line("-BUSY"),
+        _ => Reply::Line("-ERR failed used=10,cost=2"),
+    });
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    client.ask(1, 3, "", None);
+    assert_eq!(error_of(client.receive()), "BUSY 500");
+    client.ask(2, -1, ",k=00000000000000b1", Some(b"x"));
+    assert_eq!(error_of(client.receive()), "ERR failed");
+    assert!(node.count() <= 8, "four attempts each at most");
+    client.ask(3, 9, "", None);
+    assert_eq!(error_of(client.receive()), "BUSY 500", "nobody holds the shard");
+}
+
+#[test]
+fn malformed_requests_get_an_error_and_lost_framing_ends_the_connection() {
+    let node = Node::echo();
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    let good = "c=read,t=plus,d=500,volume=00000000000000a0,units=2,shard=3,hosts=1";
+    for bad in
+        ["", "c", "c=nope", &good.replace("d=500", "d=x"), &good.replace("units=2", "units=NaN"), "d=1\r\n-X"]
+    {
+        client.send(&[b"OBJ.GET", b"0000000000000001", b"0000000000000002", bad.as_bytes()]);
+        assert!(error_of(client.receive()).starts_with("ERR "), "{bad}");
+    }
+    client.send(&[b"OBJ.GET", b"1", b"2", good.as_bytes()]);
+    assert!(error_of(client.receive()).starts_with("ERR "));
+    client.send(&[b"FLUSHALL"]);
+    assert!(error_of(client.receive()).starts_with("ERR "));
+    client.ask(7, 3, "", None);
+    assert_eq!(client.receive(), bulk(b"0000000000000007"), "the connection goes on");
+    client.write(b"*1\r\n$99999999\r\n");
+    assert!(error_of(client.receive()).starts_with("ERR Protocol error"));
+    assert_eq!(client.try_receive(), None);
+    let mut other = Client::connect(program.resp);
+    other.send(&[b"INFO"]);
+    let info = String::from_utf8(bytes(other.receive())).unwrap();
+    assert!(info.contains("requests_taken:1\r\n") && info.contains("answers_served:1\r\n"), "{info}");
+}
+
+#[test]
+fn a_draining_node_gets_nothing_new_and_bad_lists_change_nothing() {
+    let (old, new) = (Node::echo(), Node::echo());
+    let discovery = Discovery::start(&[("s-1", old.address, 3)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    discovery.tell_nonsense();
+    client.ask(1, 3, "", None);
+    assert_eq!(client.receive(), bulk(b"0000000000000001"));
+    discovery.tell(true, &[line("s-1", old.address, 3, "leaving"), line("s-2", new.address, 3, "active")]);
+    discovery.wait_for_watch();
+    let before = old.count();
+    for piece in 2..6 {
+        client.ask(piece, 3, "", None);
+        assert_eq!(client.receive(), bulk(format!("{piece:016x}").as_bytes()));
+    }
+    assert_eq!((old.count(), new.count()), (before, 4));
+}
+
+#[test]
+fn a_request_given_up_is_refused_at_once_and_a_silent_node_costs_no_second_answer() {
+    let node = Node::start(|_, _| Reply::Silent);
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, Setup { deadline_ms: 2000, ..Setup::default() });
+    let mut client = Client::connect(program.resp);
+    let start = Instant::now();
+    (0..20).for_each(|piece| client.ask(piece, 3, "", None));
+    let answers: Vec<String> = (0..20).map(|_| error_of(client.receive())).collect();
+    assert!(answers.iter().all(|answer| answer == "BUSY 500"), "{answers:?}");
+    assert!(start.elapsed() < Duration::from_secs(2), "after {:?}", start.elapsed());
+    client.send(&[b"PING"]);
+    assert_eq!(client.receive(), Value::Simple(b"PONG".to_vec()));
+}
+
+#[test]
+fn sigterm_lets_new_clients_in_for_a_while_answers_all_and_ends_well() {
+    let node = Node::start(|_, words| {
+        thread::sleep(Duration::from_millis(if words[1].ends_with(b"1") { 900 } else { 1 }));
+        Reply::Value(words[1].clone())
+    });
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let mut program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    client.ask(1, 3, "", None);
+    eventually("the node has it", || (node.count() == 1).then_some(()));
+    program.terminate();
+    let mut late = Client::connect(program.resp);
+    late.ask(2, 3, "", None);
+    assert_eq!(late.receive(), bulk(b"0000000000000002"));
+    assert_eq!(client.receive(), bulk(b"0000000000000001"));
+    assert!(program.wait().success());
+}
+
+#[test]
+fn an_unusable_configuration_is_one_plain_line() {
+    for (config, iscsi) in [("{", ""), ("{}", ""), ("{\"name\":1}", "")] {
+        let (mut command, files) = command(config, iscsi);
+        let output = command.stdout(Stdio::piped()).output().unwrap();
+        std::fs::remove_dir_all(files).unwrap();
+        let text = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success() && text.lines().count() == 1, "{text}");
+        assert!(text.starts_with("topazpath: ") && !text.contains("panicked"), "{text}");
+    }
+}
+
+#[test]
+fn a_client_that_does_not_read_is_not_read_from() {
+    let node = Node::start(|_, _| Reply::Value(vec![b'v'; 60_000]));
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut slow = Client::connect(program.resp);
+    (0..300).for_each(|piece| slow.ask(piece, 3, "", None));
+    let mut other = Client::connect(program.resp);
+    other.ask(1, 3, "", None);
+    assert_eq!(bytes(other.receive()).len(), 60_000);
+    let served =
+        (0..300).filter(|_| matches!(slow.receive(), Value::Bulk(Some(value)) if value.len() == 60_000));
+    assert!(served.count() > 0);
+}
