Tell clients beyond the descriptors to come again, instead of leaving them in the kernel

At fault: Front::accept stopped accepting once no client was idle. Now a part of the descriptors is kept for clients that are let in only to be declined at once, and the targets' part is a quarter (the module's depth caps it far lower).

Test: clients_beyond_the_descriptors_are_told_to_come_again_at_once.

--- a/src/forwarder.rs
+++ b/src/forwarder.rs
@@ -34,7 +34,9 @@
 /// Descriptors that are neither clients' nor targets'.
 const OTHER_DESCRIPTORS: usize = 24;
 /// Part of the descriptors that is for targets.
-const TARGETS_PART: f64 = 0.4;
+const TARGETS_PART: f64 = 0.25;
+/// Part of the descriptors that is for clients who are only told to come again.
+const CROWD_PART: f64 = 0.0625;
 
 /// Nodes as discovery and the second front's file name them.
 #[derive(Default)]
@@ -122,8 +124,11 @@
         let registered = poll.registry().register(&mut signal, SIGNAL, Interest::READABLE);
         registered.map_err(|error| format!("signal pipe: {error}"))?;
         let for_targets = (config.sockets as f64 * TARGETS_PART) as usize;
-        let for_clients = config.sockets - for_targets - OTHER_DESCRIPTORS;
-        let room = Room { clients: for_clients, bodies: config.memory / BODIES_PART };
+        let crowd = (config.sockets as f64 * CROWD_PART) as usize;
+        let more = OTHER_DESCRIPTORS + if config.iscsi.is_some() { MOST_ISCSI } else { 0 };
+        // What is left for clients is little where the limit is low, but never nothing.
+        let clients = config.sockets.saturating_sub(for_targets + crowd + more).max(MOST_ISCSI / 4);
+        let room = Room { clients, crowd, bodies: config.memory / BODIES_PART };
         let (wire, settings) = (config.wire, config.settings);
         let mut nodes = Nodes { zones: wire.zones.clone(), ..Nodes::default() };
         let targets = Targets::new(wire.connect_timeout, wire.conn_idle, for_targets, now);
@@ -132,7 +137,7 @@
             offered.storage.iter().for_each(|storage| nodes.add_own(storage));
             let wait = |class: &Class| Duration::from_secs_f64(class.deadline_ms / 1000.0);
             let patience = settings.classes.iter().map(wait).collect();
-            let room = Room { clients: MOST_ISCSI, ..room };
+            let room = Room { clients: MOST_ISCSI, crowd: 0, ..room };
             let listen = offered.listen;
             let target = iscsi::Target::new(offered, patience, retry_after, config.seed);
             Front::listen(target, listen, ISCSI_LISTENER, poll.registry(), clock, room)
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -18,6 +18,8 @@
 const MOST_UNREAD: usize = 256 * 1024;
 /// Unparsed input of a connection: a command of the largest size and some more.
 const MOST_INPUT: usize = 128 * 1024;
+/// A client makes room once it was idle for this long. What was accepted a moment ago may only not be read yet.
+const IDLE_BEFORE_ROOM: Duration = Duration::from_millis(250);
 /// The answer goes out this long before the client stops waiting. Guards against a busy machine on either side.
 const MARGIN: Duration = Duration::from_millis(10);
 
@@ -62,13 +64,13 @@
     pub core: &'a mut Core,
     conn: usize,
     now: f64,
-    /// Bodies held are at their limit.
+    /// Bodies held are at their limit, or the connection is one too many.
     full: bool,
 }
 
 impl Intake<'_> {
-    /// Takes a request whose client waits for `patience` from now on. Guards against running out of memory: it is
-    /// declined while the bodies held take up their part of it.
+    /// Takes a request whose client waits for `patience` from now on. Guards against running out of memory and of
+    /// descriptors: it is declined while the bodies held, or the clients, take up their part.
     pub fn take(
         &mut self,
         place: u64,
@@ -89,6 +91,8 @@
     conn: Conn,
     session: S,
     used: Instant,
+    /// It came when there was no room: what it asks for is declined.
+    crowded: bool,
     /// More input may wait in the kernel.
     paused: bool,
     /// Nothing more is read; it is closed once all is written.
@@ -98,8 +102,10 @@
 /// How much the clients of a front may take up.
 #[derive(Clone, Copy, Debug)]
 pub struct Room {
-    /// Clients connected together.
+    /// Clients connected together and served.
     pub clients: usize,
+    /// Clients beyond these that are connected only to be told to come again.
+    pub crowd: usize,
     /// Bytes of the bodies of open requests.
     pub bodies: usize,
 }
@@ -132,13 +138,18 @@
         self.listener.as_ref().and_then(|listener| listener.local_addr().ok())
     }
 
-    /// Takes new connections. Guards against running out of descriptors: past the limit the client that was
-    /// idle for longest makes room; with none idle the rest waits in the kernel.
+    /// Takes new connections. Guards against running out of descriptors: past the limit the client that was idle
+    /// for longest makes room; with none idle newcomers are let in only to be declined at once, since a request
+    /// left in the kernel would get no answer at all.
     pub fn accept(&mut self, now: Instant, registry: &Registry, mut next: impl FnMut() -> Token) {
-        while self.clients.len() < self.room.clients || self.close_an_idle_one() {
+        while self.clients.len() < self.room.clients + self.room.crowd {
             let Some(listener) = &self.listener else { return };
             match listener.accept() {
-                Ok((stream, _)) => self.admit(now, stream, next(), registry),
+                Ok((stream, _)) => {
+                    while self.clients.len() >= self.room.clients && self.close_an_idle_one(now) {}
+                    let crowded = self.clients.len() >= self.room.clients;
+                    self.admit(now, stream, crowded, next(), registry);
+                }
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
                 Err(error) => {
                     tracing::warn!("accept: {error}");
@@ -148,18 +159,20 @@
         }
     }
 
-    fn admit(&mut self, now: Instant, stream: TcpStream, token: Token, registry: &Registry) {
+    fn admit(&mut self, now: Instant, stream: TcpStream, crowded: bool, token: Token, registry: &Registry) {
         // Without it answers still go out, only later.
         let _ = stream.set_nodelay(true);
         if let Ok(conn) = Conn::new(stream, token, registry) {
             let session = self.protocol.session();
-            self.clients.insert(token.0, Client { conn, session, used: now, paused: false, closing: false });
+            let client = Client { conn, session, used: now, crowded, paused: false, closing: false };
+            self.clients.insert(token.0, client);
         }
     }
 
-    fn close_an_idle_one(&mut self) -> bool {
+    fn close_an_idle_one(&mut self, now: Instant) -> bool {
         let is_idle = |client: &Client<P::Session>| {
-            self.protocol.makes_room(&client.session) && client.conn.unwritten() == 0
+            let waits = now - client.used < IDLE_BEFORE_ROOM || client.conn.unwritten() > 0;
+            !waits && self.protocol.makes_room(&client.session)
         };
         let oldest = self.clients.iter().filter(|(_, it)| is_idle(it)).min_by_key(|(_, client)| client.used);
         let oldest = oldest.map(|(id, _)| *id);
@@ -176,9 +189,11 @@
     }
 
     fn take_input(&mut self, now: Instant, id: usize, core: &mut Core) {
-        let full = core.held_bytes() > self.room.bodies;
-        let mut intake = Intake { core, conn: id, now: self.clock.millis(now), full };
+        let too_many = self.clients.len() > self.room.clients;
         let Some(client) = self.clients.get_mut(&id) else { return };
+        client.crowded &= too_many;
+        let full = client.crowded || core.held_bytes() > self.room.bodies;
+        let mut intake = Intake { core, conn: id, now: self.clock.millis(now), full };
         while !client.closing {
             // Guards against a client that asks without reading: its answers stay bounded.
             client.paused = client.conn.flush().is_ok() && client.conn.unwritten() > MOST_UNREAD;
@@ -201,6 +216,8 @@
                 client.conn.push(&output);
             }
             client.conn.input.drain(..at);
+            // Whoever was told to come again leaves the descriptor to the next.
+            client.closing |= client.crowded && at > 0;
             if at == 0 {
                 // The session is at its limit, and goes on when an answer makes room.
                 client.paused = end == ReadEnd::Paused || !client.conn.input.is_empty();
--- a/tests/net/resp.rs
+++ b/tests/net/resp.rs
@@ -179,3 +179,23 @@
         (0..300).filter(|_| matches!(slow.receive(), Value::Bulk(Some(value)) if value.len() == 60_000));
     assert!(served.count() > 0);
 }
+
+#[test]
+fn clients_beyond_the_descriptors_are_told_to_come_again_at_once() {
+    let node = Node::start(|_, _| Reply::Silent);
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, Setup { deadline_ms: 4000, ..Setup::default() });
+    // 256 descriptors: 152 are for clients, 16 more for those who have to be told.
+    let ask = |_| {
+        let mut client = Client::connect(program.resp);
+        client.ask(1, 3, "", None);
+        client
+    };
+    let mut held: Vec<Client> = (0..152).map(ask).collect();
+    let start = Instant::now();
+    for mut client in (0..40).map(ask) {
+        assert_eq!(error_of(client.receive()), "BUSY 500");
+    }
+    assert!(start.elapsed() < Duration::from_millis(900), "after {:?}", start.elapsed());
+    assert!(held.iter_mut().all(|client| error_of(client.receive()) == "BUSY 500"));
+}
