Add remote planners: forwarders send events over TCP to the one that VRRP elects

What it is: topazpath-planner decides for forwarders while it is the active one. The election is VRRP version 3 in RFC 9568's terms, a pure function of state, event and time (src/vrrp.rs); its UDP socket is src/election.rs.

Only the active planner listens, so a forwarder finds it by trying the list. A forwarder that loses it, or waits for it for a second, ends each open request once: failed if it may have run, else refused. Nothing is replayed. A new planner starts with empty limit stores (a store's usual start is the slack, which each change of planner would hand out again), gets draining nodes with the list, and its cold stores begin in debt as at any start.

Two guards in the core came with it: an order for a request that is over ends as moot, and no attempt begins at a node that this forwarder knows to drain.

Tests: the election by plain values; two planner processes and a forwarder, with the active one killed and ended.

--- a/src/config/iscsi.rs
+++ b/src/config/iscsi.rs
@@ -164,11 +164,10 @@
         settings: &mut Settings,
         wire: &mut Wire,
     ) -> Result<Option<Iscsi>, String> {
-        let text = match std::fs::read_to_string(path) {
-            Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(None),
-            other => other.map_err(|error| error.to_string())?,
-        };
-        Iscsi::parse(&text, settings, wire)
+        match super::read_if_there(path)? {
+            Some(text) => Iscsi::parse(&text, settings, wire),
+            None => Ok(None),
+        }
     }
 
     fn parse(text: &str, settings: &mut Settings, wire: &mut Wire) -> Result<Option<Iscsi>, String> {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -33,6 +33,8 @@
     pub wire: Wire,
     /// The second front, where it is switched on.
     pub iscsi: Option<iscsi::Iscsi>,
+    /// Remote planners; without any this process decides.
+    pub planners: Vec<SocketAddr>,
 }
 
 /// The settings that only the wire needs.
@@ -89,12 +91,14 @@
 }
 
 impl Config {
-    /// Reads a configuration file and that of the second front; the error is one plain line.
-    pub fn read(path: &Path, iscsi: &Path) -> Result<Config, String> {
+    /// Reads a configuration file, that of the second front and that of remote planners; the error is one plain
+    /// line.
+    pub fn read(path: &Path, iscsi: &Path, planners: &Path) -> Result<Config, String> {
         let text = std::fs::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
         let mut config = Config::parse(&text).map_err(|why| format!("{}: {why}", path.display()))?;
         config.iscsi = iscsi::Iscsi::read(iscsi, &mut config.settings, &mut config.wire)
             .map_err(|why| format!("{}: {why}", iscsi.display()))?;
+        config.planners = read_planners(planners).map_err(|why| format!("{}: {why}", planners.display()))?;
         Ok(config)
     }
 
@@ -134,10 +138,35 @@
                 conn_idle: millis("conn_idle_ms", wire.limits.conn_idle_ms)?,
             },
             iscsi: None,
+            planners: Vec::new(),
         })
     }
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Planners {
+    enabled: bool,
+    planners: Vec<SocketAddr>,
+}
+
+fn read_planners(path: &Path) -> Result<Vec<SocketAddr>, String> {
+    let Some(text) = read_if_there(path)? else { return Ok(Vec::new()) };
+    let file: Planners = toml::from_str(&text).map_err(|error| error.message().to_string())?;
+    match (file.enabled, file.planners.is_empty()) {
+        (true, true) => Err("enabled, but no planners".into()),
+        (true, false) => Ok(file.planners),
+        (false, _) => Ok(Vec::new()),
+    }
+}
+
+fn read_if_there(path: &Path) -> Result<Option<String>, String> {
+    match std::fs::read_to_string(path) {
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(None),
+        other => other.map(Some).map_err(|error| error.to_string()),
+    }
+}
+
 fn millis(name: &str, value: f64) -> Result<Duration, String> {
     Duration::try_from_secs_f64(value / 1000.0)
         .ok()
--- a/src/core.rs
+++ b/src/core.rs
@@ -301,8 +301,13 @@
     }
 
     fn send(&mut self, now: Instant, id: RequestId, node: NodeId, give_up_at: f64) {
-        // The planner may not have heard yet that the request is over.
-        let Some(open) = self.requests.get_mut(&id).filter(|open| !open.answered) else { return };
+        let Some(open) = self.requests.get_mut(&id).filter(|open| !open.answered) else {
+            // A remote planner had not heard yet that the request is over, and is to count no attempt as out.
+            let (outcome, finished) = (Outcome::Moot, true);
+            let (attempt, latency, used, elsewhere) = (0, 0.0, None, 0.0);
+            let end = AttemptEnd { id, attempt, node, outcome, finished, latency, used, elsewhere };
+            return self.events.push(Event::AttemptEnded(end));
+        };
         let give_up_at = self.clock.instant(give_up_at).min(open.deadline);
         let attempt = AttemptId { request: id, number: open.attempts.len() as u32 };
         open.attempts.push(Attempt { node, sent: now, running: true });
@@ -384,6 +389,14 @@
         self.close_if_over(id);
     }
 
+    /// There is no planner: ends every open request once and replays nothing.
+    pub fn lose_planner(&mut self) {
+        let mut ids: Vec<RequestId> = self.requests.keys().copied().collect();
+        ids.sort();
+        ids.into_iter().for_each(|id| self.end_without_planner(id));
+        self.events.clear();
+    }
+
     pub fn open_requests(&self) -> usize {
         self.requests.len()
     }
--- a/src/forwarder.rs
+++ b/src/forwarder.rs
@@ -6,11 +6,12 @@
 use crate::discovery::{Discovery, ListMessage, Status};
 use crate::front::{iscsi, resp, Front, Room};
 use crate::interface::{Class, Event, ListKind, NodeEntry, NodeId, NodeState, Outcome};
+use crate::planner::link::{Change, Link, Remote};
 use crate::planner::Planner;
 use crate::target::{Endpoint, Start, Targets, Wire};
 use mio::net::UnixStream;
 use mio::{Events, Interest, Poll, Token};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::Read;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,7 @@
 const SIGNAL: Token = Token(1);
 const DISCOVERY: Token = Token(2);
 const ISCSI_LISTENER: Token = Token(3);
+const PLANNER: Token = Token(4);
 /// Tokens from here on are given out once each; the remainder by four tells whose.
 const FIRST_FREE: usize = 16;
 const RESP_CLIENT: usize = 0;
@@ -42,8 +44,8 @@
 #[derive(Default)]
 struct Nodes {
     ids: HashMap<String, NodeId>,
-    /// Where listed nodes are and their state.
-    known: HashMap<NodeId, (Endpoint, NodeState)>,
+    /// Where listed nodes are, and their lines.
+    known: BTreeMap<NodeId, (Endpoint, NodeEntry)>,
     /// Those that no list of discovery has.
     own: Vec<NodeEntry>,
     zones: Vec<String>,
@@ -59,8 +61,15 @@
     fn add_own(&mut self, storage: &config::iscsi::Storage) {
         let node = self.id(format!("iscsi {}", storage.name));
         let endpoint = Endpoint { address: storage.address, wire: Wire::Iscsi(storage.name.clone()) };
-        self.known.insert(node, (endpoint, NodeState::Ready));
-        self.own.push(NodeEntry { node, shard: storage.shard, fixed: true, ..NodeEntry::default() });
+        let entry = NodeEntry { node, shard: storage.shard, fixed: true, ..NodeEntry::default() };
+        self.known.insert(node, (endpoint, entry.clone()));
+        self.own.push(entry);
+    }
+
+    /// All that is known, as a planner's first list.
+    fn list(&self) -> Event {
+        let entries = self.known.values().map(|(_, entry)| entry.clone()).collect();
+        Event::List { kind: ListKind::Cached, entries }
     }
 
     /// Turns a message of discovery into one for the planner; tells which nodes are to get nothing new.
@@ -74,26 +83,21 @@
                 Status::Left => NodeState::Gone,
             };
             let zone = self.zones.iter().position(|zone| *zone == line.zone).unwrap_or(0) as u32;
-            self.known.insert(node, (Endpoint { address: line.address, wire: Wire::Resp }, state));
-            entries.push(NodeEntry {
-                node,
-                shard: line.group,
-                zone,
-                started: line.since_ms,
-                state,
-                fixed: false,
-            });
+            let started = line.since_ms;
+            let entry = NodeEntry { node, shard: line.group, zone, started, state, fixed: false };
+            self.known.insert(node, (Endpoint { address: line.address, wire: Wire::Resp }, entry.clone()));
+            entries.push(entry);
         }
         if kind != ListKind::Delta {
             entries.extend(self.own.iter().cloned());
             // Whoever is not on a whole list is gone.
-            for (node, (_, state)) in &mut self.known {
+            for (node, (_, line)) in &mut self.known {
                 if !entries.iter().any(|entry| entry.node == *node) {
-                    *state = NodeState::Gone;
+                    line.state = NodeState::Gone;
                 }
             }
         }
-        let unwanted = self.known.iter().filter(|(_, (_, state))| *state != NodeState::Ready);
+        let unwanted = self.known.iter().filter(|(_, (_, line))| line.state != NodeState::Ready);
         let unwanted = unwanted.map(|(node, _)| *node).collect();
         (Event::List { kind, entries }, unwanted)
     }
@@ -103,7 +107,7 @@
 pub struct Forwarder {
     poll: Poll,
     core: Core,
-    planner: Planner,
+    link: Link,
     resp: Front<resp::Resp>,
     iscsi: Option<Front<iscsi::Target>>,
     targets: Targets,
@@ -146,10 +150,17 @@
         let resp = resp::Resp { wire, retry_after };
         let resp = Front::listen(resp, config.listen, LISTENER, poll.registry(), clock, room)
             .map_err(|error| format!("{}: {error}", config.listen))?;
+        let link = match config.planners.is_empty() {
+            true => Link::Local(Box::new(Planner::new(settings, config.seed, clock))),
+            false => {
+                let (planners, seed) = (config.planners, config.seed);
+                Link::Remote(Box::new(Remote::new(planners, PLANNER, settings, seed, clock, now)))
+            }
+        };
         let mut forwarder = Forwarder {
             poll,
             core: Core::new(clock),
-            planner: Planner::new(settings, config.seed, clock),
+            link,
             resp,
             iscsi: iscsi.transpose()?,
             targets,
@@ -190,6 +201,10 @@
             self.core.fire(now);
             self.targets.tick(now);
             self.discovery.tick(now, self.poll.registry());
+            if let Link::Remote(remote) = &mut self.link {
+                let change = remote.tick(now, self.poll.registry());
+                self.follow_link(now, change);
+            }
             self.plan(now);
             if self.stopping.is_some_and(|since| now >= since + LINGER) {
                 let iscsi = self.iscsi.as_mut().is_none_or(|front| front.shut_down(now, &mut self.core));
@@ -206,6 +221,9 @@
     fn next_timer(&self, now: Instant) -> Instant {
         let mut next = self.targets.next_timer().min(self.discovery.next_timer());
         next = self.core.next_timer().map_or(next, |at| next.min(at));
+        if let Link::Remote(remote) = &self.link {
+            next = remote.next_timer().map_or(next, |at| next.min(at));
+        }
         match self.stopping {
             Some(since) => next.min((since + LINGER).max(now + SHUTDOWN_LOOK)),
             None => next,
@@ -216,6 +234,12 @@
         match token {
             // Connections are accepted once all that is ready was looked at.
             LISTENER | ISCSI_LISTENER => {}
+            PLANNER => {
+                if let Link::Remote(remote) = &mut self.link {
+                    let change = remote.ready(now);
+                    self.follow_link(now, change);
+                }
+            }
             SIGNAL => {
                 let mut bytes = [0; 16];
                 if self.signal.read(&mut bytes).is_ok_and(|count| count > 0) {
@@ -239,6 +263,20 @@
         }
     }
 
+    /// Carries out what came of a remote planner.
+    fn follow_link(&mut self, now: Instant, change: Change) {
+        match change {
+            Change::Actions(actions) => self.core.carry_out(now, actions),
+            Change::Lost => self.core.lose_planner(),
+            Change::Found => {
+                // What is told from here on is for the new planner, and the list comes first. Ends of attempts
+                // that it never ordered mean nothing to it.
+                self.core.lose_planner();
+                self.core.tell(self.nodes.list());
+            }
+        }
+    }
+
     /// Takes new connections, also those that had to wait for room.
     fn accept(&mut self, now: Instant) {
         let (registry, next) = (self.poll.registry(), &mut self.next_token);
@@ -266,8 +304,14 @@
                 if events.is_empty() {
                     return;
                 }
-                let actions = self.planner.decide(now, &events);
-                self.core.carry_out(now, actions);
+                match &mut self.link {
+                    Link::Local(planner) => {
+                        let actions = planner.decide(now, &events);
+                        self.core.carry_out(now, actions);
+                    }
+                    Link::Remote(remote) if remote.is_up() => remote.send(now, events),
+                    Link::Remote(_) => self.core.lose_planner(),
+                }
             }
             for effect in effects {
                 self.carry_out(now, effect);
@@ -283,7 +327,10 @@
             },
             Effect::Stop { attempt, outcome } => self.targets.stop(attempt, outcome),
             Effect::Start { attempt, node, content, give_up_at } => {
-                let Some((endpoint, _)) = self.nodes.known.get(&node) else {
+                // Guards against a remote planner that has not heard of a drain yet.
+                let known = self.nodes.known.get(&node);
+                let ready = known.filter(|(_, line)| line.state == NodeState::Ready);
+                let Some((endpoint, _)) = ready else {
                     return self.core.attempt_ended(now, attempt, Ended::bare(Outcome::NotConnected));
                 };
                 let start = Start { attempt, node, content, give_up_at };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,23 +2,25 @@
 //!
 //! Times are milliseconds on one clock that only moves forward. No type here decides anything.
 
+use serde::{Deserialize, Serialize};
+
 /// Milliseconds on the caller's clock, or a span of them.
 pub type Millis = f64;
 
 /// One request of a client; never used twice while a scheduler lives.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestId(pub u64);
 
 /// One storage node. A machine that replaces it has another id, a restarted process the same.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct NodeId(pub u32);
 
 /// One volume, over all hosts.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct VolumeId(pub u64);
 
 /// Everything a scheduler is told at its start.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// How many hosts work on these nodes, this one included.
     pub hosts: u32,
@@ -39,7 +41,7 @@
 }
 
 /// Whether a request may run more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Effect {
     /// It may.
     Safe,
@@ -50,7 +52,7 @@
 }
 
 /// The nodes that drop each other's repeats of a keyed request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Group {
     /// All nodes.
     All,
@@ -61,7 +63,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// An answer within this time has its full worth.
     pub aim_ms: Millis,
@@ -80,7 +82,7 @@
 }
 
 /// A plan that volumes stand on; figures are per volume over all hosts and nodes.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
     /// Units a second at full worth.
     pub reserve: f64,
@@ -93,7 +95,7 @@
 }
 
 /// A limit on what all hosts send for a volume.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Limit {
     /// Units a second.
     pub rate: f64,
@@ -104,7 +106,7 @@
 }
 
 /// How the units of requests count.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Units {
     /// Units of a mean request.
     pub mean: f64,
@@ -123,7 +125,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Rules {
     /// How long after a deadline a final answer still counts.
     pub answer_slack_ms: Millis,
@@ -144,7 +146,7 @@
 }
 
 /// Budget of attempts beyond each request's first, per host.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Budget {
     /// Attempts allowed in any case.
     pub free: f64,
@@ -155,7 +157,7 @@
 }
 
 /// What the deployment permits.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Limits {
     /// Attempts per request.
     pub max_attempts: u32,
@@ -168,7 +170,7 @@
 }
 
 /// State of a node in the list.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NodeState {
     /// Takes work.
     #[default]
@@ -180,7 +182,7 @@
 }
 
 /// One line of the node list.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct NodeEntry {
     /// The node.
     pub node: NodeId,
@@ -197,7 +199,7 @@
 }
 
 /// What a message of the node list holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListKind {
     /// The whole list as it was when this host last had it.
     Cached,
@@ -210,7 +212,7 @@
 }
 
 /// A request as it is taken.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct NewRequest {
     /// Its id.
     pub id: RequestId,
@@ -233,7 +235,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Served.
     Served,
@@ -256,7 +258,7 @@
 }
 
 /// The end of one attempt.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AttemptEnd {
     /// The request.
     pub id: RequestId,
@@ -277,7 +279,7 @@
 }
 
 /// What a host sees.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
     /// News of the node list.
     List {
@@ -305,7 +307,7 @@
 }
 
 /// What a host is to do, in the order given.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Action {
     /// Start an attempt.
     Send {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,14 +49,17 @@
 mod conn;
 mod core;
 pub mod discovery;
+mod election;
 pub mod forwarder;
 mod front;
 pub mod interface;
 pub mod iscsi;
-mod planner;
+pub mod planner;
+pub mod process;
 pub mod resp;
 mod rules;
 pub mod settings;
 mod target;
+pub mod vrrp;
 
 pub use rules::Scheduler;
--- a/src/planner.rs
+++ b/src/planner/mod.rs
@@ -1,4 +1,9 @@
-//! Where decisions are made: the planner owns the scheduler, and nothing else decides.
+//! Where decisions are made: the planner owns the scheduler, and nothing else decides. A forwarder's link to it is
+//! a direct call in its own process, or a connection to the active one of a few planners.
+
+mod frame;
+pub(crate) mod link;
+pub mod server;
 
 use crate::clock::Clock;
 use crate::interface::{Action, Event, Settings};
@@ -12,6 +17,7 @@
 }
 
 impl Planner {
+    /// A planner that knows nothing yet.
     pub fn new(settings: Settings, seed: u64, clock: Clock) -> Self {
         Planner { scheduler: Scheduler::new(settings, seed), clock }
     }
--- /dev/null
+++ b/src/process.rs
@@ -0,0 +1,29 @@
+//! What the binaries share: logging, signals, and how an error ends the process.
+
+use std::os::unix::net::UnixStream;
+use std::process::ExitCode;
+use tracing_subscriber::EnvFilter;
+
+/// Runs a program with its log on standard error (`TOPAZPATH_LOG` sets its level; quiet by default). An error is one
+/// plain line and a failing exit.
+pub fn run(name: &str, program: impl FnOnce() -> Result<(), String>) -> ExitCode {
+    let filter = EnvFilter::try_from_env("TOPAZPATH_LOG").unwrap_or_else(|_| EnvFilter::new("error"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(std::io::stderr).init();
+    match program() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("{name}: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// A stream that becomes readable once the process is told to end.
+pub fn end_signal() -> Result<UnixStream, String> {
+    let (signal, wake) = UnixStream::pair().map_err(|error| format!("signal pipe: {error}"))?;
+    for kind in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        let wake = wake.try_clone().map_err(|error| format!("signal pipe: {error}"))?;
+        signal_hook::low_level::pipe::register(kind, wake).map_err(|error| format!("signals: {error}"))?;
+    }
+    Ok(signal)
+}
--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -33,6 +33,8 @@
     /// Units a second that a volume of `base` may take.
     pub limit: u64,
     pub iscsi: String,
+    /// Remote planners, by address.
+    pub planners: Vec<SocketAddr>,
 }
 
 /// The running program.
@@ -52,19 +54,26 @@
     }
 }
 
-/// A command that would start the program with these files.
-pub fn command(config: &str, iscsi: &str) -> (Command, std::path::PathBuf) {
+/// A folder for one test's files.
+pub fn folder() -> std::path::PathBuf {
     static COUNT: Mutex<u32> = Mutex::new(0);
     let mut count = COUNT.lock().unwrap();
     *count += 1;
     let files = std::env::temp_dir().join(format!("topazpath-test-{}-{count}", std::process::id()));
     std::fs::create_dir_all(&files).unwrap();
+    files
+}
+
+/// A command that would start the program with these files.
+pub fn command(config: &str, iscsi: &str) -> (Command, std::path::PathBuf) {
+    let files = folder();
     std::fs::write(files.join("config.json"), config).unwrap();
     if !iscsi.is_empty() {
         std::fs::write(files.join("iscsi.toml"), iscsi).unwrap();
     }
     let mut command = Command::new(env!("CARGO_BIN_EXE_topazpath"));
     command.env("NODE_CONFIG", files.join("config.json")).env("TOPAZPATH_ISCSI", files.join("iscsi.toml"));
+    command.env("TOPAZPATH_PLANNERS", files.join("planners.toml"));
     command.env("TOPAZPATH_LOG", "info").stderr(Stdio::piped());
     (command, files)
 }
@@ -80,6 +89,10 @@
             discovery.address
         );
         let (mut command, files) = command(&config, &setup.iscsi);
+        if !setup.planners.is_empty() {
+            let text = format!("enabled = true\nplanners = {:?}\n", strings(&setup.planners));
+            std::fs::write(files.join("planners.toml"), text).unwrap();
+        }
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
@@ -99,7 +112,7 @@
     }
 
     pub fn terminate(&self) {
-        Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        terminate(&self.child);
     }
 
     pub fn wait(&mut self) -> ExitStatus {
@@ -107,6 +120,15 @@
     }
 }
 
+/// Asks a process of this test's own to end.
+pub fn terminate(child: &Child) {
+    Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+}
+
+pub fn strings(addresses: &[SocketAddr]) -> Vec<String> {
+    addresses.iter().map(SocketAddr::to_string).collect()
+}
+
 /// Waits until there is something.
 pub fn eventually<T>(what: &str, mut check: impl FnMut() -> Option<T>) -> T {
     let start = Instant::now();
--- a/tests/net/iscsi.rs
+++ b/tests/net/iscsi.rs
@@ -220,7 +220,7 @@
          volume = \"a0\"\nplan = \"{plan}\"\nread = \"read\"\nwrite = \"write\"\nshard = {shard}\nblocks = 4096\n\
          unit_bytes = 512\n"
     );
-    Setup { deadline_ms: 1500, limit: 10, iscsi }
+    Setup { deadline_ms: 1500, limit: 10, iscsi, ..Setup::default() }
 }
 
 fn run(storage: &Storage, drops: u64) -> (Program, Initiator) {
--- a/tests/net/main.rs
+++ b/tests/net/main.rs
@@ -2,4 +2,5 @@
 
 mod helper;
 mod iscsi;
+mod planner;
 mod resp;
