--- a/src/bin/topazpath-wirehost/frames.rs
+++ b/src/bin/topazpath-wirehost/frames.rs
@@ -1,5 +1,6 @@
 //! The binary frames of the wire, both ways.
 
+use std::time::Duration;
 use topazpath::interface::*;
 
 /// A record of a batch.
@@ -17,7 +18,7 @@
 pub struct BatchHeader {
     pub sequence: u32,
     pub length: u32,
-    pub now: Millis,
+    pub now: Duration,
     pub records: u32,
 }
 
@@ -65,6 +66,12 @@
         finite(self.array().map(f32::from_le_bytes)?.into())
     }
 
+    /// A time or span in milliseconds; below zero it is zero.
+    fn time(&mut self) -> Parsed<Duration> {
+        let millis = self.f64()?.max(0.0);
+        Duration::try_from_secs_f64(millis / 1000.0).map_err(|_| format!("{millis} ms is no time"))
+    }
+
     fn f64(&mut self) -> Parsed<f64> {
         finite(self.array().map(f64::from_le_bytes)?)
     }
@@ -82,7 +89,7 @@
 pub fn read_header(bytes: &[u8; HEADER_BYTES]) -> Parsed<BatchHeader> {
     let mut reader = Reader { bytes };
     let (sequence, length) = (reader.u32()?, reader.u32()?);
-    Ok(BatchHeader { sequence, length, now: reader.f64()?, records: reader.u32()? })
+    Ok(BatchHeader { sequence, length, now: reader.time()?, records: reader.u32()? })
 }
 
 /// Reads the records that follow a header.
@@ -162,7 +169,8 @@
     let mut entries = Vec::new();
     for _ in 0..count {
         let shard = fields.u16()?.into();
-        let started = fields.f64()?;
+        // 0, or before the clock's origin: long ago.
+        let started = Some(fields.time()?).filter(|started| !started.is_zero());
         fields.f32()?;
         let zone = fields.u8()?.into();
         fields.u16()?;
@@ -183,7 +191,7 @@
     let class = fields.u8()?.into();
     let plan = fields.u32()? as usize;
     let key = fields.u64()?;
-    let deadline = fields.f64()?;
+    let deadline = fields.time()?;
     let volume = VolumeId(fields.u64()?);
     let units = fields.f32()?;
     let shard = fields.f32()?;
@@ -212,11 +220,16 @@
     let used = fields.u16()?;
     let used = (used > 0).then(|| f64::from(used - 1) / 100.0);
     let node = NodeId(fields.u32()?);
-    let latency = fields.f64()?;
+    let latency = fields.time()?;
     skip_report(fields)?;
     Ok(Event::AttemptEnded(AttemptEnd { id, attempt, node, outcome, finished, latency, used, elsewhere }))
 }
 
+/// A time or span as the wire has it.
+fn millis(time: Duration) -> [u8; 8] {
+    (time.as_secs_f64() * 1000.0).to_le_bytes()
+}
+
 /// Collects the records of a reply.
 #[derive(Default)]
 pub struct Reply {
@@ -240,14 +253,14 @@
     pub fn action(&mut self, action: &Action) {
         match *action {
             Action::Send { id, node, give_up_at } => {
-                self.record(1, &[&id.0.to_le_bytes(), &node.0.to_le_bytes(), &give_up_at.to_le_bytes()]);
+                self.record(1, &[&id.0.to_le_bytes(), &node.0.to_le_bytes(), &millis(give_up_at)]);
             }
             Action::Refuse { id, retry_after } => {
-                self.record(2, &[&id.0.to_le_bytes(), &retry_after.to_le_bytes()]);
+                self.record(2, &[&id.0.to_le_bytes(), &millis(retry_after)]);
             }
             Action::Fail { id } => self.record(3, &[&id.0.to_le_bytes()]),
             Action::Cancel { id, attempt } => self.record(4, &[&id.0.to_le_bytes(), &[attempt as u8]]),
-            Action::WakeAt(at) => self.record(5, &[&at.to_le_bytes(), &0u64.to_le_bytes()]),
+            Action::WakeAt(at) => self.record(5, &[&millis(at), &0u64.to_le_bytes()]),
             Action::Subscribe => self.record(11, &[&[1]]),
         }
     }
--- a/src/bin/topazpath-wirehost/main.rs
+++ b/src/bin/topazpath-wirehost/main.rs
@@ -7,7 +7,8 @@
 use std::io::{self, BufReader, BufWriter, ErrorKind, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
-use topazpath::interface::{Action, Event, Millis};
+use std::time::Duration;
+use topazpath::interface::{Action, Event};
 use topazpath::{settings, Scheduler};
 
 /// The instances of this process, each with what the running batch brought it.
@@ -65,7 +66,7 @@
 }
 
 impl Instances {
-    fn batch(&mut self, now: Millis, records: Vec<Record>) -> Result<Reply, String> {
+    fn batch(&mut self, now: Duration, records: Vec<Record>) -> Result<Reply, String> {
         let mut reply = Reply::default();
         let mut selected = None;
         for record in records {
--- a/src/config/iscsi.rs
+++ b/src/config/iscsi.rs
@@ -240,8 +240,7 @@
 fn write_class(stated: usize, storage: &FileStorage, settings: &mut Settings, wire: &mut Wire) -> usize {
     let window = Duration::from_millis(storage.drops_repeats_ms);
     let effect = if window.is_zero() { Effect::Unsafe } else { Effect::Keyed(Group::Shard) };
-    let wanted =
-        Class { effect, window_ms: window.as_secs_f64() * 1000.0, ..settings.classes[stated].clone() };
+    let wanted = Class { effect, window, ..settings.classes[stated].clone() };
     // A class of the same name and terms serves all storage alike.
     let same =
         |class: usize| settings.classes[class] == wanted && wire.classes[class] == wire.classes[stated];
--- a/src/core.rs
+++ b/src/core.rs
@@ -266,7 +266,7 @@
             node,
             outcome: ended.outcome,
             finished: self.requests[&id].answered,
-            latency: latency.as_secs_f64() * 1000.0,
+            latency,
             used: ended.used,
             elsewhere: ended.elsewhere,
         }));
@@ -279,7 +279,6 @@
             match action {
                 Action::Send { id, node, give_up_at } => self.send(now, id, node, give_up_at),
                 Action::Refuse { id, retry_after } => {
-                    let retry_after = Duration::from_secs_f64(retry_after.max(0.0) / 1000.0);
                     self.answer(id, Answer::Refused { retry_after });
                     self.close_if_over(id);
                 }
@@ -300,11 +299,11 @@
         }
     }
 
-    fn send(&mut self, now: Instant, id: RequestId, node: NodeId, give_up_at: f64) {
+    fn send(&mut self, now: Instant, id: RequestId, node: NodeId, give_up_at: Duration) {
         let Some(open) = self.requests.get_mut(&id).filter(|open| !open.answered) else {
             // A remote planner had not heard yet that the request is over, and is to count no attempt as out.
             let (outcome, finished) = (Outcome::Moot, true);
-            let (attempt, latency, used, elsewhere) = (0, 0.0, None, 0.0);
+            let (attempt, latency, used, elsewhere) = (0, Duration::ZERO, None, 0.0);
             let end = AttemptEnd { id, attempt, node, outcome, finished, latency, used, elsewhere };
             return self.events.push(Event::AttemptEnded(end));
         };
@@ -432,7 +431,7 @@
 
         /// Takes a request with a second to its deadline.
         fn take(&mut self, place: u64) -> RequestId {
-            let deadline = self.clock.millis(self.now) + 1000.0;
+            let deadline = self.clock.unix(self.now) + Duration::from_secs(1);
             let content = Content {
                 operation: Operation::Write,
                 object: String::new(),
@@ -454,7 +453,7 @@
         }
 
         fn send(&mut self, id: RequestId) -> Vec<Effect> {
-            let give_up_at = self.clock.millis(self.now) + 500.0;
+            let give_up_at = self.clock.unix(self.now) + Duration::from_millis(500);
             self.order(Action::Send { id, node: NodeId(3), give_up_at })
         }
 
@@ -542,7 +541,7 @@
     fn an_order_for_a_request_that_is_over_ends_as_moot() {
         let mut bench = Bench::new();
         let id = bench.take(0);
-        bench.order(Action::Refuse { id, retry_after: 0.0 });
+        bench.order(Action::Refuse { id, retry_after: Duration::ZERO });
         assert_eq!(bench.send(id), []);
         let moot = |event: &Event| matches!(event, Event::AttemptEnded(end) if end.outcome == Outcome::Moot);
         assert!(bench.core.drain_events().last().is_some_and(moot));
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -16,6 +16,8 @@
 /// A longer answer is no node list.
 const LONGEST_ANSWER: usize = 8 * 1024 * 1024;
 const MOST_HEADERS: usize = 64;
+/// A start beyond this Unix time is no time, and sums with it must not overflow.
+const LATEST_START_MS: f64 = 1e15;
 
 /// A message of the node list, as discovery words it.
 #[derive(Clone, Debug, Deserialize)]
@@ -59,11 +61,18 @@
     Left,
 }
 
+impl Endpoint {
+    /// When its process started, unless that is long ago.
+    pub(crate) fn started(&self) -> Option<Duration> {
+        Duration::try_from_secs_f64(self.since_ms / 1000.0).ok().filter(|started| !started.is_zero())
+    }
+}
+
 impl ListMessage {
     /// Reads a message. A single bad line makes the whole message unusable: the old list stands.
     pub fn parse(text: &[u8]) -> Result<ListMessage, String> {
         let message: ListMessage = serde_json::from_slice(text).map_err(|error| error.to_string())?;
-        match message.endpoints.iter().find(|line| !line.since_ms.is_finite() || line.since_ms < 0.0) {
+        match message.endpoints.iter().find(|line| !(0.0..LATEST_START_MS).contains(&line.since_ms)) {
             Some(bad) => Err(format!("{} started at {}", bad.name, bad.since_ms)),
             None => Ok(message),
         }
@@ -286,6 +295,7 @@
             "[]",
             &LIST.replace("leaving", "asleep"),
             &LIST.replace("\"since_ms\":0", "\"since_ms\":-1"),
+            &LIST.replace("\"since_ms\":0", "\"since_ms\":1e300"),
         ] {
             assert!(ListMessage::parse(bad.as_bytes()).is_err(), "{bad}");
         }
--- a/src/forwarder.rs
+++ b/src/forwarder.rs
@@ -5,7 +5,7 @@
 use crate::core::{Core, Effect, Ended};
 use crate::discovery::{Discovery, ListMessage, Status};
 use crate::front::{iscsi, resp, Front, Room};
-use crate::interface::{Class, Event, ListKind, NodeEntry, NodeId, NodeState, Outcome};
+use crate::interface::{Event, ListKind, NodeEntry, NodeId, NodeState, Outcome};
 use crate::planner::link::{Change, Link, Remote};
 use crate::planner::Planner;
 use crate::target::{Endpoint, Start, Targets, Wire};
@@ -76,6 +76,7 @@
     fn take(&mut self, message: ListMessage, kind: ListKind) -> (Event, Vec<NodeId>) {
         let mut entries = Vec::new();
         for line in message.endpoints {
+            let started = line.started();
             let node = self.id(line.name);
             let state = match line.status {
                 Status::Active => NodeState::Ready,
@@ -83,7 +84,6 @@
                 Status::Left => NodeState::Gone,
             };
             let zone = self.zones.iter().position(|zone| *zone == line.zone).unwrap_or(0) as u32;
-            let started = line.since_ms;
             let entry = NodeEntry { node, shard: line.group, zone, started, state, fixed: false };
             self.known.insert(node, (Endpoint { address: line.address, wire: Wire::Resp }, entry.clone()));
             entries.push(entry);
@@ -136,11 +136,10 @@
         let (wire, settings) = (config.wire, config.settings);
         let mut nodes = Nodes { zones: wire.zones.clone(), ..Nodes::default() };
         let targets = Targets::new(wire.connect_timeout, wire.conn_idle, for_targets, now);
-        let retry_after = Duration::from_secs_f64(settings.limits.max_retry_after_ms / 1000.0);
+        let retry_after = settings.limits.max_retry_after;
         let iscsi = config.iscsi.map(|offered| {
             offered.storage.iter().for_each(|storage| nodes.add_own(storage));
-            let wait = |class: &Class| Duration::from_secs_f64(class.deadline_ms / 1000.0);
-            let patience = settings.classes.iter().map(wait).collect();
+            let patience = settings.classes.iter().map(|class| class.deadline).collect();
             let room = Room { clients: MOST_ISCSI, crowd: 0, ..room };
             let listen = offered.listen;
             let target = iscsi::Target::new(offered, patience, retry_after, config.seed);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -63,7 +63,7 @@
 pub struct Intake<'a> {
     pub core: &'a mut Core,
     conn: usize,
-    now: f64,
+    now: Duration,
     /// Bodies held are at their limit, or the connection is one too many.
     full: bool,
 }
@@ -82,7 +82,7 @@
             return None;
         }
         let patience = patience.saturating_sub(MARGIN).max(Duration::from_millis(1));
-        new.deadline = self.now + patience.as_secs_f64() * 1000.0;
+        new.deadline = self.now + patience;
         Some(self.core.take(Origin { conn: self.conn, place }, new, content))
     }
 }
@@ -193,7 +193,7 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.crowded &= too_many;
         let full = client.crowded || core.held_bytes() > self.room.bodies;
-        let mut intake = Intake { core, conn: id, now: self.clock.millis(now), full };
+        let mut intake = Intake { core, conn: id, now: self.clock.unix(now), full };
         while !client.closing {
             // Guards against a client that asks without reading: its answers stay bounded.
             client.paused = client.conn.flush().is_ok() && client.conn.unwritten() > MOST_UNREAD;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,11 +1,9 @@
 //! What goes into the scheduler and what comes out of it: settings, events, actions and ids.
 //!
-//! Times are milliseconds on one clock that only moves forward. No type here decides anything.
+//! Times are what has passed since the origin of one clock that only moves forward. No type here decides anything.
 
 use serde::{Deserialize, Serialize};
-
-/// Milliseconds on the caller's clock, or a span of them.
-pub type Millis = f64;
+use std::time::Duration;
 
 /// One request of a client; never used twice while a scheduler lives.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -25,7 +23,7 @@
     /// How many hosts work on these nodes, this one included.
     pub hosts: u32,
     /// Shortest time between two calls of the scheduler.
-    pub tick_ms: Millis,
+    pub tick: Duration,
     /// The node list has to be asked for; otherwise its changes come by themselves.
     pub list_on_request: bool,
     /// The request classes; requests name them by position.
@@ -66,9 +64,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// An answer within this time has its full worth.
-    pub aim_ms: Millis,
+    pub aim: Duration,
     /// The longest a client waits, over all its tries.
-    pub deadline_ms: Millis,
+    pub deadline: Duration,
     /// Worth of a mean request answered within the aim.
     pub worth: f64,
     /// Part of the worth that a later answer keeps.
@@ -76,7 +74,7 @@
     /// Whether it may run again.
     pub effect: Effect,
     /// How long repeats of a keyed request are dropped.
-    pub window_ms: Millis,
+    pub window: Duration,
     /// Requests with one key run in turn.
     pub in_order: bool,
 }
@@ -116,10 +114,10 @@
     pub share_worth: f64,
     /// Worth of units beyond both.
     pub spare_worth: f64,
-    /// Units that a cold node bears from all hosts within [`Rules::fall_ms`].
+    /// Units that a cold node bears from all hosts within [`Rules::fall`].
     pub cold_units: f64,
     /// Period of the use that answers report; 0: none is reported.
-    pub meter_ms: Millis,
+    pub meter: Duration,
     /// Units a second that a volume is sized for, by plan: the unit of reported use.
     pub base_rates: Vec<f64>,
 }
@@ -128,19 +126,19 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Rules {
     /// How long after a deadline a final answer still counts.
-    pub answer_slack_ms: Millis,
+    pub answer_slack: Duration,
     /// Sends to a draining node must end this long after its drain was told.
-    pub drain_grace_ms: Millis,
+    pub drain_grace: Duration,
     /// Part of its capacity that a cold node has at least.
     pub cold_share: f64,
     /// A cold node is warm after this time at the latest.
-    pub cold_ms: Millis,
+    pub cold: Duration,
     /// A cold node falls when sent more than this multiple of its present capacity ...
     pub fall_multiple: f64,
     /// ... for this long.
-    pub fall_ms: Millis,
+    pub fall: Duration,
     /// Rest of a key after an attempt that may still run.
-    pub order_settle_ms: Millis,
+    pub order_settle: Duration,
     /// Budget of further attempts, where one is stated.
     pub budget: Option<Budget>,
 }
@@ -153,7 +151,7 @@
     /// Attempts allowed per request taken.
     pub share: f64,
     /// Window over which both are counted.
-    pub window_ms: Millis,
+    pub window: Duration,
 }
 
 /// What the deployment permits.
@@ -162,9 +160,9 @@
     /// Attempts per request.
     pub max_attempts: u32,
     /// A connection not made within this time has failed.
-    pub connect_timeout_ms: Millis,
+    pub connect_timeout: Duration,
     /// The longest wait that a client can be asked for; 0: none.
-    pub max_retry_after_ms: Millis,
+    pub max_retry_after: Duration,
     /// Attempts may be withdrawn.
     pub cancel: bool,
 }
@@ -190,8 +188,8 @@
     pub shard: u32,
     /// The zone it is in.
     pub zone: u32,
-    /// When its process started; 0: long ago.
-    pub started: Millis,
+    /// When its process started; none: long ago.
+    pub started: Option<Duration>,
     /// Its state.
     pub state: NodeState,
     /// It gets no new objects, only what its shard holds.
@@ -225,7 +223,7 @@
     /// The piece of data; 0: none.
     pub key: u64,
     /// When its client stops waiting.
-    pub deadline: Millis,
+    pub deadline: Duration,
     /// Its size.
     pub units: f64,
     /// The shard that holds its data; `None`: a new object, which any node may take.
@@ -271,7 +269,7 @@
     /// The request is finished.
     pub finished: bool,
     /// Time from the send to this outcome.
-    pub latency: Millis,
+    pub latency: Duration,
     /// Use of the volume over all hosts in a past period, as a multiple of its rate.
     pub used: Option<f64>,
     /// Units this shard served for the volume through other hosts since its last answer.
@@ -316,14 +314,14 @@
         /// Where to.
         node: NodeId,
         /// When the attempt is given up.
-        give_up_at: Millis,
+        give_up_at: Duration,
     },
     /// Final answer: no, and trying again does no harm.
     Refuse {
         /// The request.
         id: RequestId,
         /// How long the client should stay away; 0: not said.
-        retry_after: Millis,
+        retry_after: Duration,
     },
     /// Final answer: failed, with no promise as to its effect.
     Fail {
@@ -338,7 +336,7 @@
         attempt: u32,
     },
     /// Call again at this time.
-    WakeAt(Millis),
+    WakeAt(Duration),
     /// Ask for the node list's changes from now on.
     Subscribe,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,21 +3,22 @@
 //!
 //! ```
 //! use topazpath::interface::*;
+//! use std::time::Duration;
 //! use topazpath::Scheduler;
 //!
 //! let class = Class {
-//!     aim_ms: 300.0,
-//!     deadline_ms: 2000.0,
+//!     aim: Duration::from_millis(300),
+//!     deadline: Duration::from_secs(2),
 //!     worth: 2.0,
 //!     late_worth: 0.2,
 //!     effect: Effect::Safe,
-//!     window_ms: 0.0,
+//!     window: Duration::ZERO,
 //!     in_order: false,
 //! };
 //! let plan = Plan { reserve: 5.0, limit: None, weight: 1.0, price: 1.0 };
 //! let settings = Settings {
 //!     hosts: 1,
-//!     tick_ms: 1.0,
+//!     tick: Duration::from_millis(1),
 //!     classes: vec![class],
 //!     plans: vec![plan],
 //!     units: Units { mean: 2.0, largest: 6.0, share_worth: 0.4, spare_worth: 0.1, ..Default::default() },
@@ -25,22 +26,22 @@
 //!     ..Default::default()
 //! };
 //! let mut scheduler = Scheduler::new(settings, 7);
-//! let node = NodeEntry { node: NodeId(4), shard: 0, zone: 0, started: 0.0, state: NodeState::Ready, fixed: false };
+//! let node = NodeEntry { node: NodeId(4), shard: 0, zone: 0, started: None, state: NodeState::Ready, fixed: false };
 //! let request = NewRequest {
 //!     id: RequestId(1),
 //!     class: 0,
 //!     plan: 0,
 //!     volume: VolumeId(9),
 //!     key: 0,
-//!     deadline: 2100.0,
+//!     deadline: Duration::from_millis(2100),
 //!     units: 2.0,
 //!     shard: Some(0),
 //!     volume_hosts: 1.0,
 //! };
 //! let events = [Event::List { kind: ListKind::Cached, entries: vec![node] }, Event::Request(request)];
 //! let mut actions = Vec::new();
-//! scheduler.handle(100.0, &events, &mut actions);
-//! assert!(actions.contains(&Action::Send { id: RequestId(1), node: NodeId(4), give_up_at: 2100.0 }));
+//! scheduler.handle(Duration::from_millis(100), &events, &mut actions);
+//! assert!(actions.contains(&Action::Send { id: RequestId(1), node: NodeId(4), give_up_at: Duration::from_millis(2100) }));
 //! ```
 #![warn(missing_docs)]
 
--- a/src/planner/frame.rs
+++ b/src/planner/frame.rs
@@ -1,8 +1,9 @@
 //! What forwarders and planners say to each other: a four-byte length, then the message in postcard's form.
 
-use crate::interface::{Action, Event, Millis, Settings};
+use crate::interface::{Action, Event, Settings};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// A longer message is none of these.
 pub const MOST: usize = 4 * 1024 * 1024;
@@ -22,7 +23,7 @@
     /// What has happened up to a time on the forwarder's clock. Each is answered with actions.
     Events {
         /// The time.
-        now: Millis,
+        now: Duration,
         /// What has happened.
         events: Vec<Event>,
     },
@@ -60,7 +61,10 @@
     #[test]
     fn messages_are_taken_once_they_are_whole() {
         let request = NewRequest { id: RequestId(7), shard: Some(3), ..NewRequest::default() };
-        let sent = ToPlanner::Events { now: 1.5, events: vec![Event::Request(request), Event::Wake] };
+        let sent = ToPlanner::Events {
+            now: Duration::from_micros(1500),
+            events: vec![Event::Request(request), Event::Wake],
+        };
         let mut bytes = Vec::new();
         write(&sent, &mut bytes);
         for cut in 0..bytes.len() {
--- a/src/planner/link.rs
+++ b/src/planner/link.rs
@@ -102,7 +102,7 @@
     pub fn send(&mut self, now: Instant, events: Vec<Event>) {
         if let Some(conn) = self.conn.as_mut().filter(|_| matches!(self.state, State::Up)) {
             let mut output = Vec::new();
-            frame::write(&ToPlanner::Events { now: self.clock.millis(now), events }, &mut output);
+            frame::write(&ToPlanner::Events { now: self.clock.unix(now), events }, &mut output);
             conn.push(&output);
             self.unanswered.push_back(now);
             // A broken connection shows at the next read as well.
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -25,7 +25,7 @@
     /// Hands over all that has happened; what comes back is to be carried out.
     pub fn decide(&mut self, now: Instant, events: &[Event]) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.scheduler.handle(self.clock.millis(now), events, &mut actions);
+        self.scheduler.handle(self.clock.unix(now), events, &mut actions);
         actions
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,9 +5,10 @@
 
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
 
 /// Control interval (the design's two seconds; the paper's as well).
-const INTERVAL_MS: Millis = 2000.0;
+const INTERVAL: Duration = Duration::from_secs(2);
 /// Intervals that a slope is fitted over (the design's).
 const FIT_INTERVALS: usize = 5;
 /// Largest move of a class's normalized bound in one interval (the paper's l).
@@ -21,7 +22,7 @@
 /// Weight of one outcome in a node's smoothed figures: an eighth, as TCP smooths round trips.
 const SMOOTHING: f64 = 1.0 / 8.0;
 /// Deviations beyond the smoothed latency that are still usual, as in TCP's retransmission time-out.
-const USUAL_DEVIATIONS: f64 = 4.0;
+const USUAL_DEVIATIONS: u32 = 4;
 /// Part of the tightest aim that an answer may take before fewer requests are let through to its node.
 const ANSWER_SHARE: f64 = 1.0 / 3.0;
 /// Weight in the levels of an answer that comes an aim or longer after the last.
@@ -29,7 +30,7 @@
 /// Bounds of one answer's say (natural logarithm): falls are quick, a rise is tried slowly.
 const LEVEL_SAY: (f64, f64) = (-2.0, 0.25);
 /// A node's own level fades into that of all nodes as its answers age beyond this.
-const LEVEL_MEMORY_MS: Millis = FIT_INTERVALS as f64 * INTERVAL_MS;
+const LEVEL_MEMORY: Duration = INTERVAL.saturating_mul(FIT_INTERVALS as u32);
 /// Least level (natural logarithm): one in eight of what is worth most goes on, so that news come.
 const LEAST_LEVEL: f64 = -2.08;
 /// The highest level bears this multiple of a volume's size of what is worth least.
@@ -49,15 +50,15 @@
 struct Request {
     new: NewRequest,
     /// When it was taken, and when its client first asked, as far as its deadline tells.
-    taken: Millis,
-    asked: Millis,
+    taken: Duration,
+    asked: Duration,
     /// Its place in its volume's demand, between 0 and 1.
     place: f64,
     attempts: u32,
     /// Its attempt without an outcome: the node and when it was sent.
-    out: Option<(NodeId, Millis)>,
+    out: Option<(NodeId, Duration)>,
     /// The first attempt that may have run: its node's shard and zone, and when it was sent.
-    may_have_run: Option<(u32, u32, Millis)>,
+    may_have_run: Option<(u32, u32, Duration)>,
     /// It has its final answer; it is kept while an attempt is out.
     finished: bool,
     streaming: bool,
@@ -73,7 +74,7 @@
     /// Performance and bound in slots of past intervals.
     history: VecDeque<(f64, f64)>,
     /// Sum of latencies and count of the answers of this interval.
-    latency: (f64, f64),
+    latency: (Duration, f64),
 }
 
 #[derive(Default)]
@@ -82,14 +83,14 @@
     /// Attempts out.
     out: BTreeMap<RequestId, Out>,
     /// Send time of the latest-sent attempt that was answered.
-    answered: Millis,
+    answered: Duration,
     /// Depth that its latency allows this host.
     depth: f64,
     /// Smoothed latency and its deviation, once there were answers.
-    latency: Option<(f64, f64)>,
+    latency: Option<(Duration, Duration)>,
     /// Failures in a row and when the next attempt may be made.
     failures: u32,
-    blocked_until: Millis,
+    blocked_until: Duration,
     /// Logarithm of its level against that of all nodes, as of when it last answered.
     level: Fading,
     /// While cold: what this host may send; a request may overdraw it.
@@ -106,7 +107,7 @@
 /// What a node remembers of an attempt out.
 #[derive(Clone, Copy)]
 struct Out {
-    sent: Millis,
+    sent: Duration,
     class: usize,
     units: f64,
 }
@@ -115,12 +116,12 @@
 #[derive(Clone, Copy, Default)]
 struct Store {
     level: f64,
-    at: Millis,
+    at: Duration,
 }
 
 impl Store {
-    fn fill(&mut self, now: Millis, rate: f64, top: f64) -> f64 {
-        self.level = (self.level + rate * (now - self.at) / 1000.0).min(top);
+    fn fill(&mut self, now: Duration, rate: f64, top: f64) -> f64 {
+        self.level = (self.level + rate * now.saturating_sub(self.at).as_secs_f64()).min(top);
         self.at = now;
         self.level
     }
@@ -130,16 +131,16 @@
 #[derive(Clone, Copy, Default)]
 struct Fading {
     value: f64,
-    at: Millis,
+    at: Duration,
 }
 
 impl Fading {
-    fn now(&self, now: Millis, memory: Millis) -> f64 {
-        self.value * (-(now - self.at) / memory).exp()
+    fn now(&self, now: Duration, memory: Duration) -> f64 {
+        self.value * (-now.saturating_sub(self.at).div_duration_f64(memory)).exp()
     }
 
-    fn add(&mut self, now: Millis, units: f64) {
-        (self.value, self.at) = (self.now(now, INTERVAL_MS) + units * 1000.0 / INTERVAL_MS, now);
+    fn add(&mut self, now: Duration, units: f64) {
+        (self.value, self.at) = (self.now(now, INTERVAL) + units / INTERVAL.as_secs_f64(), now);
     }
 }
 
@@ -160,7 +161,7 @@
 struct KeyLine {
     /// In the order taken: those unfinished or with an attempt out.
     waiting: VecDeque<RequestId>,
-    rest_until: Millis,
+    rest_until: Duration,
     /// The last to have had an attempt: it need not wait for the rest.
     turn: Option<RequestId>,
 }
@@ -169,7 +170,7 @@
 #[derive(Default)]
 pub struct Scheduler {
     settings: Settings,
-    now: Millis,
+    now: Duration,
     random: u64,
     classes: Vec<ClassControl>,
     nodes: BTreeMap<NodeId, Node>,
@@ -179,19 +180,19 @@
     volumes: BTreeMap<VolumeId, Volume>,
     /// Logarithm of the level of need that nodes bear in the mean.
     level: f64,
-    level_at: Millis,
+    level_at: Duration,
     keys: BTreeMap<u64, KeyLine>,
     /// Times of requests taken and of further attempts, within the budget's window.
-    taken: VecDeque<Millis>,
-    further: VecDeque<Millis>,
-    /// Largest first wait that clients of each class gave, as a part of the deadline.
-    try_share: Vec<f64>,
+    taken: VecDeque<Duration>,
+    further: VecDeque<Duration>,
+    /// Largest first wait that clients of each class gave, within its deadline.
+    try_wait: Vec<Duration>,
     /// When the node list is to be asked for.
-    ask_list_at: Option<Millis>,
+    ask_list_at: Option<Duration>,
     list_failures: u32,
-    look_ms: Millis,
-    interval_start: Option<Millis>,
-    wake_at: Option<Millis>,
+    look: Duration,
+    interval_start: Option<Duration>,
+    wake_at: Option<Duration>,
 }
 
 // ---------------------------------------------------------------- event intake
@@ -205,16 +206,16 @@
             random: seed,
             classes: settings.classes.iter().map(class).collect(),
             level: top_level(&settings),
-            look_ms: (tightest_aim(&settings) / LOOKS_PER_AIM).max(settings.tick_ms),
-            try_share: vec![0.0; settings.classes.len()],
-            ask_list_at: settings.list_on_request.then_some(0.0),
+            look: tightest_aim(&settings).div_f64(LOOKS_PER_AIM).max(settings.tick),
+            try_wait: vec![Duration::ZERO; settings.classes.len()],
+            ask_list_at: settings.list_on_request.then_some(Duration::ZERO),
             settings,
             ..Scheduler::default()
         }
     }
 
     /// Takes what has happened up to `now` and adds what is to be done.
-    pub fn handle(&mut self, now: Millis, events: &[Event], actions: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: Duration, events: &[Event], actions: &mut Vec<Action>) {
         self.integrate_demand(now);
         self.now = now;
         if self.wake_at.is_some_and(|at| at <= now) {
@@ -250,7 +251,7 @@
             // The old list stands; asking again at once would only add to a list service in trouble.
             self.list_failures += 1;
             let pause = (LIST_PAUSES.0 * f64::from(1 << self.list_failures.min(8))).min(LIST_PAUSES.1);
-            let at = self.now + pause * INTERVAL_MS * (0.5 + self.next_random());
+            let at = self.now + INTERVAL.mul_f64(pause * (0.5 + self.next_random()));
             self.ask_list_at = self.settings.list_on_request.then_some(at);
             return;
         }
@@ -264,10 +265,10 @@
         for entry in entries {
             let (debt, classes) =
                 (self.settings.units.largest * self.next_random(), self.settings.classes.len());
-            let unheard = || Node::new(NodeEntry { started: f64::NEG_INFINITY, ..entry.clone() }, classes);
+            let unheard = || Node::new(NodeEntry { started: None, ..entry.clone() }, classes);
             let node = self.nodes.entry(entry.node).or_insert_with(unheard);
             if entry.started > node.entry.started {
-                (node.latency, node.failures, node.blocked_until) = (None, 0, 0.0);
+                (node.latency, node.failures, node.blocked_until) = (None, 0, Duration::ZERO);
                 node.level = Fading::default();
                 // Hosts begin at a node each with a debt of its own: else all of many send at once while it
                 // is cold. It also holds for a host that starts, or hears late of the node.
@@ -279,9 +280,9 @@
 
     fn take_request(&mut self, new: &NewRequest) {
         let class = &self.settings.classes[new.class];
-        let wait = (new.deadline - self.now) / class.deadline_ms;
-        self.try_share[new.class] = self.try_share[new.class].max(wait.min(1.0));
-        let asked = self.now.min(new.deadline - self.try_share[new.class] * class.deadline_ms);
+        let wait = new.deadline.saturating_sub(self.now).min(class.deadline);
+        self.try_wait[new.class] = self.try_wait[new.class].max(wait);
+        let asked = self.now.min(new.deadline.saturating_sub(self.try_wait[new.class]));
         self.taken.push_back(self.now);
         if class.in_order && new.key != 0 {
             self.keys.entry(new.key).or_default().waiting.push_back(new.id);
@@ -329,12 +330,12 @@
         }
         if matches!(end.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled | Outcome::Unknown) {
             if let Some(line) = self.keys.get_mut(&request.new.key) {
-                line.rest_until = self.now + self.settings.rules.order_settle_ms;
+                line.rest_until = self.now + self.settings.rules.order_settle;
             }
         }
         if end.outcome == Outcome::Served && end.finished {
             let latency = &mut self.classes[request.new.class].latency;
-            *latency = (latency.0 + self.now - request.asked, latency.1 + 1.0);
+            *latency = (latency.0 + self.now.saturating_sub(request.asked), latency.1 + 1.0);
         }
         let ran = request.may_have_run.map(|(_, _, sent)| sent);
         if end.finished || request.finished {
@@ -381,12 +382,12 @@
 
     /// Requirement estimator: the bound that meets the aim, within one step of the last bound. Without a
     /// positive slope or answers the last ask stands.
-    fn ask(&mut self, total: f64, aim: Millis) {
+    fn ask(&mut self, total: f64, aim: Duration) {
         let (sum, answers) = std::mem::take(&mut self.latency);
         if answers == 0.0 {
             return;
         }
-        let performance = aim / (sum / answers).max(f64::MIN_POSITIVE);
+        let performance = aim.as_secs_f64() * answers / sum.as_secs_f64().max(f64::MIN_POSITIVE);
         self.history.push_back((performance, self.bound * total));
         if self.history.len() > FIT_INTERVALS + 1 {
             self.history.pop_front();
@@ -411,19 +412,19 @@
     /// Runs the controllers, the arbiter and the node allocator once an interval.
     fn control(&mut self) {
         let start = *self.interval_start.get_or_insert(self.now);
-        if self.now - start < INTERVAL_MS {
+        if self.now.saturating_sub(start) < INTERVAL {
             return;
         }
         self.interval_start = Some(self.now);
         // Departure: the host cap is the depths that listed nodes bear, so it answers a shared latency rise.
         let total = self.ready().map(|node| node.depth).sum::<f64>().max(1.0);
         for (class, control) in self.settings.classes.iter().zip(&mut self.classes) {
-            control.ask(total, class.aim_ms);
+            control.ask(total, class.aim);
         }
         self.arbitrate(total);
         self.allocate_nodes(total);
         for node in self.nodes.values_mut() {
-            let rate = std::mem::take(&mut node.served) * 1000.0 / (self.now - start);
+            let rate = std::mem::take(&mut node.served) / (self.now - start).as_secs_f64();
             node.power += SMOOTHING * (rate - node.power);
         }
         self.forget();
@@ -477,22 +478,22 @@
     /// Drops what no rule needs any more.
     fn forget(&mut self) {
         let now = self.now;
-        let window = self.settings.rules.budget.map_or(0.0, |budget| budget.window_ms) + INTERVAL_MS;
-        self.taken.retain(|at| *at > now - window);
-        self.further.retain(|at| *at > now - window);
+        let window = self.settings.rules.budget.map_or(Duration::ZERO, |budget| budget.window) + INTERVAL;
+        self.taken.retain(|at| *at + window > now);
+        self.further.retain(|at| *at + window > now);
         self.keys.retain(|_, line| !line.waiting.is_empty() || line.rest_until >= now);
         self.nodes.retain(|_, node| node.entry.state != NodeState::Gone || !node.out.is_empty());
         // A volume that comes again starts its limit as at a restart, with less than it had.
-        let longest = self.settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
-        self.volumes.retain(|_, volume| now - volume.asked.at < longest + LEVEL_MEMORY_MS);
+        let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+        self.volumes.retain(|_, volume| now.saturating_sub(volume.asked.at) < longest + LEVEL_MEMORY);
     }
 
     fn ready(&self) -> impl Iterator<Item = &Node> {
         self.nodes.values().filter(|node| node.entry.state == NodeState::Ready)
     }
 
-    fn integrate_demand(&mut self, now: Millis) {
-        let elapsed = (now - self.now).min(INTERVAL_MS);
+    fn integrate_demand(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.now).min(INTERVAL).as_secs_f64();
         for node in self.nodes.values_mut() {
             let held = self.held.get(&Some(node.entry.shard)).into_iter().flatten();
             for id in held.chain(node.out.keys()) {
@@ -513,7 +514,7 @@
         let wait = |node: &Node| {
             let held = self.held.get(&Some(node.entry.shard)).map_or(0, Vec::len);
             (held + node.out.len() + 1) as f64
-                * node.latency.map_or(tightest_aim(&self.settings), |(mean, _)| mean)
+                * node.latency.map_or(tightest_aim(&self.settings), |(mean, _)| mean).as_secs_f64()
         };
         let mut order: Vec<_> = self.ready().map(|node| (wait(node), node.entry.node)).collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -571,7 +572,7 @@
     }
 
     fn level_of(&self, node: &Node) -> f64 {
-        (self.level + node.level.now(self.now, LEVEL_MEMORY_MS)).max(LEAST_LEVEL).exp()
+        (self.level + node.level.now(self.now, LEVEL_MEMORY)).max(LEAST_LEVEL).exp()
     }
 
     /// The levels of a node and of all follow the time that answers take. Guards against many hosts that keep
@@ -581,23 +582,23 @@
         let say = match end.outcome {
             Outcome::Served | Outcome::Error => {
                 let size = (units / self.settings.units.mean.max(f64::MIN_POSITIVE)).max(1.0);
-                let ratio = aim * ANSWER_SHARE * size / end.latency.max(f64::MIN_POSITIVE);
+                let ratio = aim.div_duration_f64(end.latency) * ANSWER_SHARE * size;
                 ratio.ln().clamp(LEVEL_SAY.0, LEVEL_SAY.1)
             }
             Outcome::Full | Outcome::TimedOut | Outcome::Cancelled => LEVEL_SAY.0,
             _ => return,
         };
         let Some(node) = self.nodes.get_mut(&node) else { return };
-        let gain = |last: Millis| LEVEL_GAIN * (1.0 - ((last - self.now) / aim).exp());
+        let gain = |last| LEVEL_GAIN * (1.0 - (-self.now.saturating_sub(last).div_duration_f64(aim)).exp());
         let common = self.level + gain(self.level_at) * say.max(-4.0 * LEVEL_SAY.1);
         (self.level, self.level_at) = (common.clamp(LEAST_LEVEL, top), self.now);
-        let own = node.level.now(self.now, LEVEL_MEMORY_MS) + gain(node.level.at) * say;
+        let own = node.level.now(self.now, LEVEL_MEMORY) + gain(node.level.at) * say;
         let own = own.clamp(LEAST_LEVEL - self.level, top - LEAST_LEVEL - self.level);
         node.level = Fading { value: own, at: self.now };
     }
 
     fn is_late(&self, request: &Request, node: &Node) -> bool {
-        self.now + node.quick_answer() > request.asked + self.settings.classes[request.new.class].aim_ms
+        self.now + node.quick_answer() > request.asked + self.settings.classes[request.new.class].aim
     }
 
     fn send(&mut self, id: RequestId, node_id: NodeId, actions: &mut Vec<Action>) {
@@ -633,15 +634,15 @@
     /// against clients that wait for less than a node takes and come again and again (ieb05fd), and without
     /// an attempt by half of the time, against clients kept long for a no.
     fn give_up(&mut self, actions: &mut Vec<Action>) {
-        let margin = self.look_ms + self.settings.tick_ms;
+        let margin = self.look + self.settings.tick;
         let mut over = Vec::new();
         for (shard, lane) in &self.held {
             let nodes = self.ready().filter(|node| shard.is_none_or(|shard| shard == node.entry.shard));
-            let quick = nodes.map(Node::quick_answer).reduce(f64::min).unwrap_or(0.0).max(margin);
+            let quick = nodes.map(Node::quick_answer).min().unwrap_or_default().max(margin);
             over.extend(lane.iter().filter(|id| {
                 let Request { new, taken, attempts, .. } = &self.requests[id];
-                let half = (taken + new.deadline) / 2.0 - margin;
-                new.deadline - quick <= self.now || (*attempts == 0 && half <= self.now)
+                let half = (*taken + new.deadline) / 2;
+                new.deadline <= self.now + quick || (*attempts == 0 && half <= self.now + margin)
             }));
         }
         self.held.values_mut().for_each(|lane| lane.retain(|id| !over.contains(id)));
@@ -660,18 +661,18 @@
             Effect::Keyed(_) | Effect::Unsafe => request.may_have_run.is_none(),
         };
         actions.push(match harmless {
-            true => Action::Refuse { id, retry_after: self.settings.limits.max_retry_after_ms },
+            true => Action::Refuse { id, retry_after: self.settings.limits.max_retry_after },
             false => Action::Fail { id },
         });
     }
 
     fn ask_to_wake(&mut self, actions: &mut Vec<Action>) {
-        let mut next = self.interval_start.unwrap_or(self.now) + INTERVAL_MS;
+        let mut next = self.interval_start.unwrap_or(self.now) + INTERVAL;
         next = next.min(self.ask_list_at.unwrap_or(next));
         if !self.requests.is_empty() {
-            next = next.min(self.now + self.look_ms);
+            next = next.min(self.now + self.look);
         }
-        let next = next.max(self.now + self.settings.tick_ms);
+        let next = next.max(self.now + self.settings.tick);
         if self.wake_at.is_none_or(|at| next < at) {
             self.wake_at = Some(next);
             actions.push(Action::WakeAt(next));
@@ -695,8 +696,8 @@
     (TOP_DEPTH * highest_worth(settings) / (class * price * settings.units.share_worth)).ln()
 }
 
-fn tightest_aim(settings: &Settings) -> Millis {
-    settings.classes.iter().map(|class| class.aim_ms).fold(f64::INFINITY, f64::min)
+fn tightest_aim(settings: &Settings) -> Duration {
+    settings.classes.iter().map(|class| class.aim).min().unwrap_or(INTERVAL)
 }
 
 // ---------------------------------------------------------------- rule guards
@@ -723,11 +724,11 @@
     }
 
     /// Whether a request may get another attempt at all, given when the first that may have run was sent.
-    fn repeatable(&self, request: &Request, ran: Option<Millis>) -> bool {
+    fn repeatable(&self, request: &Request, ran: Option<Duration>) -> bool {
         let class = &self.settings.classes[request.new.class];
         let harmless = match class.effect {
             Effect::Safe => true,
-            Effect::Keyed(_) => ran.is_none_or(|sent| self.now < sent + class.window_ms),
+            Effect::Keyed(_) => ran.is_none_or(|sent| self.now < sent + class.window),
             Effect::Unsafe => ran.is_none(),
         };
         harmless && request.attempts < self.settings.limits.max_attempts && self.now < request.new.deadline
@@ -753,9 +754,9 @@
     fn budget_permits(&self, request: &Request) -> bool {
         let budget = self.settings.rules.budget.filter(|_| request.attempts > 0);
         let Some(budget) = budget else { return true };
-        let (tick, start) = (self.settings.tick_ms, self.now - budget.window_ms);
+        let (tick, start) = (self.settings.tick, self.now.saturating_sub(budget.window));
         let taken = self.taken.iter().rev().take_while(|at| **at > start + tick).count() as f64;
-        let further = self.further.iter().rev().take_while(|at| **at > start - tick).count() as f64;
+        let further = self.further.iter().rev().take_while(|at| **at + tick > start).count() as f64;
         further + 1.0 <= budget.free + budget.share * taken
     }
 
@@ -782,23 +783,23 @@
     fn cold_rate(&self, node: &Node) -> f64 {
         let rules = &self.settings.rules;
         let always = self.settings.units.cold_units / f64::from(self.settings.hosts.max(1));
-        let age = (self.now - node.entry.started).max(0.0) / rules.cold_ms;
+        let age = self.now.saturating_sub(node.entry.started.unwrap_or_default());
         let (sum, count) = self.ready().fold((0.0, 0.0), |sum, node| (sum.0 + node.power, sum.1 + 1.0));
-        let warmth = rules.cold_share + (1.0 - rules.cold_share) * age;
+        let warmth = rules.cold_share + (1.0 - rules.cold_share) * age.div_duration_f64(rules.cold);
         let capacity = node.power.max(sum / f64::max(count, 1.0)) * warmth;
-        (COLD_MARGIN * rules.fall_multiple * capacity).max(always * 1000.0 / rules.fall_ms.max(1.0))
+        (COLD_MARGIN * rules.fall_multiple * capacity).max(always / rules.fall.as_secs_f64().max(0.001))
     }
 }
 
 impl Volume {
     /// The limit's store starts at this host's part of the slack: a host that restarts cannot know what it
     /// drew before, and the slack bears that even if all hosts restart at once.
-    fn new(plan: Option<&Plan>, hosts: f64, now: Millis, place: f64) -> Self {
+    fn new(plan: Option<&Plan>, hosts: f64, now: Duration, place: f64) -> Self {
         let start = plan.and_then(|plan| plan.limit).map_or(0.0, |limit| limit.slack.min(limit.burst));
         Volume { limit: Store { level: start / hosts.max(1.0), at: now }, place, ..Volume::default() }
     }
 
-    fn learn(&mut self, now: Millis, end: &AttemptEnd, units: f64, base: f64) {
+    fn learn(&mut self, now: Duration, end: &AttemptEnd, units: f64, base: f64) {
         if end.outcome == Outcome::Served {
             self.served.add(now, units);
             self.elsewhere.add(now, end.elsewhere.max(0.0));
@@ -808,9 +809,9 @@
 
     /// Units a second asked for over all hosts: what is told or seen served, raised as much as this host
     /// was asked for more than it got served.
-    fn demand(&self, now: Millis, some: f64) -> f64 {
+    fn demand(&self, now: Duration, some: f64) -> f64 {
         let [asked, served, elsewhere] =
-            [self.asked, self.served, self.elsewhere].map(|flow| flow.now(now, INTERVAL_MS));
+            [self.asked, self.served, self.elsewhere].map(|flow| flow.now(now, INTERVAL));
         (self.told.max(served + elsewhere) * (asked + some) / (served + some)).max(asked)
     }
 }
@@ -827,24 +828,23 @@
         }
         let held_up = node.out.values().filter(|out| !self.overtaken(node, out));
         let (overdue, live): (Vec<&Out>, Vec<&Out>) = held_up.partition(|out| self.overdue(node, out));
-        let Some(newest) = overdue.iter().map(|out| out.sent).reduce(f64::max) else {
+        let Some(newest) = overdue.iter().map(|out| out.sent).max() else {
             return (live.len() as f64) < node.depth.floor().max(1.0);
         };
-        let pause = self.usual_wait(node) * f64::powi(2.0, overdue.len() as i32 - 1);
-        live.is_empty() && self.now - newest > pause && (overdue.len() as f64) < NODE_DEPTH
+        let pause = self.usual_wait(node).mul_f64(f64::powi(2.0, overdue.len() as i32 - 1));
+        live.is_empty() && self.now.saturating_sub(newest) > pause && (overdue.len() as f64) < NODE_DEPTH
     }
 
     /// How long an answer of a mean request usually takes at most.
-    fn usual_wait(&self, node: &Node) -> Millis {
-        let usual =
-            |(mean, deviation): (f64, f64)| mean + USUAL_DEVIATIONS * deviation.max(mean / USUAL_DEVIATIONS);
+    fn usual_wait(&self, node: &Node) -> Duration {
+        let usual = |(mean, deviation): (Duration, Duration)| mean + (deviation * USUAL_DEVIATIONS).max(mean);
         node.latency.map_or(tightest_aim(&self.settings), usual)
     }
 
     /// An attempt is overdue when it has been out for longer than usual for its size.
     fn overdue(&self, node: &Node, out: &Out) -> bool {
         let size = (out.units / self.settings.units.mean.max(f64::MIN_POSITIVE)).max(1.0);
-        self.now - out.sent > self.usual_wait(node) * size
+        self.now.saturating_sub(out.sent) > self.usual_wait(node).mul_f64(size)
     }
 
     /// It is overtaken when the node has also answered a later one: its answer is lost, or it is far heavier.
@@ -879,30 +879,30 @@
         Node { entry, depth: NODE_DEPTH / 2.0, bounds, demand, ..Node::default() }
     }
 
-    fn quick_answer(&self) -> Millis {
-        self.latency.map_or(0.0, |(mean, deviation)| (mean - deviation).max(0.0))
+    fn quick_answer(&self) -> Duration {
+        self.latency.map_or(Duration::ZERO, |(mean, deviation)| mean.saturating_sub(deviation))
     }
 
-    fn cold_until(&self, rules: &Rules) -> Millis {
-        let started = (self.entry.started > 0.0).then_some(self.entry.started);
-        started.map_or(0.0, |started| started + rules.cold_ms)
+    fn cold_until(&self, rules: &Rules) -> Duration {
+        self.entry.started.map_or(Duration::ZERO, |started| started + rules.cold)
     }
 
-    fn learn(&mut self, now: Millis, end: &AttemptEnd, request: &Request, settings: &Settings) {
+    fn learn(&mut self, now: Duration, end: &AttemptEnd, request: &Request, settings: &Settings) {
         match end.outcome {
             Outcome::Served | Outcome::Error => {
                 self.failures = 0;
-                self.blocked_until = 0.0;
+                self.blocked_until = Duration::ZERO;
                 self.served += request.new.units;
-                let (mean, deviation) = self.latency.unwrap_or((end.latency, end.latency / 2.0));
-                let mean_now = mean + SMOOTHING * (end.latency - mean);
-                let deviation_now = deviation + SMOOTHING * ((end.latency - mean).abs() - deviation);
+                let (mean, deviation) = self.latency.unwrap_or((end.latency, end.latency / 2));
+                let smooth = |a: Duration, b: Duration| a.mul_f64(1.0 - SMOOTHING) + b.mul_f64(SMOOTHING);
+                let mean_now = smooth(mean, end.latency);
+                let deviation_now = smooth(deviation, end.latency.abs_diff(mean));
                 self.latency = Some((mean_now, deviation_now));
                 // The hosts together keep one request more at a node than the target asks for, so that a
                 // freed slot finds work.
-                let target = tightest_aim(settings) * NODE_TIME_SHARE;
-                let wanted = self.depth * target / mean_now.max(f64::MIN_POSITIVE)
-                    + 1.0 / f64::from(settings.hosts.max(1));
+                let target = tightest_aim(settings).mul_f64(NODE_TIME_SHARE);
+                let wanted =
+                    self.depth * target.div_duration_f64(mean_now) + 1.0 / f64::from(settings.hosts.max(1));
                 let binding = (self.out.len() + 1) as f64 >= self.depth.floor();
                 if wanted < self.depth || binding {
                     self.depth += SMOOTHING * (wanted.min(2.0 * self.depth) - self.depth);
@@ -912,8 +912,8 @@
             Outcome::Full | Outcome::NotConnected | Outcome::Reset => {
                 self.failures += 1;
                 self.depth = (self.depth / 2.0).max(1.0);
-                let pause = settings.limits.connect_timeout_ms * f64::from(1 << self.failures.min(4));
-                self.blocked_until = now + pause.min(INTERVAL_MS);
+                let pause = settings.limits.connect_timeout * (1 << self.failures.min(4));
+                self.blocked_until = now + pause.min(INTERVAL);
             }
             Outcome::TimedOut => self.failures += 1,
             Outcome::Cancelled | Outcome::Moot | Outcome::Unknown => {}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::{Budget, Class, Effect, Group, Limit, Limits, Plan, Rules, Settings, Units};
 use serde::Deserialize;
+use std::time::Duration;
 
 #[derive(Deserialize)]
 struct Boot {
@@ -109,14 +110,16 @@
     let contract = boot.contract;
     let budget = match (contract.spare_attempts, contract.repeat_ratio, contract.budget_span_ms) {
         (None, None, None) => None,
-        (free, share, Some(window_ms)) => {
-            Some(Budget { free: free.unwrap_or(0.0), share: share.unwrap_or(0.0), window_ms })
-        }
+        (free, share, Some(window_ms)) => Some(Budget {
+            free: free.unwrap_or(0.0),
+            share: share.unwrap_or(0.0),
+            window: millis(window_ms)?,
+        }),
         _ => return Err("an attempt budget without its span".into()),
     };
     Ok(Settings {
         hosts: boot.siblings,
-        tick_ms: boot.tick_ms,
+        tick: millis(boot.tick_ms)?,
         list_on_request: match boot.discovery.as_str() {
             "pushed" => false,
             "on_request" => true,
@@ -129,24 +132,28 @@
             share_worth: boot.domain.share_worth,
             spare_worth: boot.domain.idle_worth,
             cold_units: boot.domain.young_limit,
-            meter_ms: boot.domain.metering_ms,
+            meter: millis(boot.domain.metering_ms)?,
             base_rates: boot.service_levels.iter().map(|level| level.base_rate).collect(),
         },
         plans: boot.service_levels.iter().map(plan).collect(),
         rules: Rules {
-            answer_slack_ms: contract.grace_to_answer_ms,
-            drain_grace_ms: contract.drain_grace_ms,
+            answer_slack: millis(contract.grace_to_answer_ms)?,
+            drain_grace: millis(contract.drain_grace_ms)?,
             cold_share: contract.cold_from,
-            cold_ms: contract.warm_after_ms,
+            cold: millis(contract.warm_after_ms)?,
             fall_multiple: contract.tip_multiple,
-            fall_ms: contract.fall_ms,
-            order_settle_ms: contract.order_settle_ms,
+            fall: millis(contract.fall_ms)?,
+            order_settle: millis(contract.order_settle_ms)?,
             budget,
         },
         limits: Limits {
             max_attempts: boot.limits.attempts_cap,
-            connect_timeout_ms: boot.limits.connect_timeout_ms,
-            max_retry_after_ms: if boot.limits.retry_after { boot.limits.max_retry_after_ms } else { 0.0 },
+            connect_timeout: millis(boot.limits.connect_timeout_ms)?,
+            max_retry_after: millis(if boot.limits.retry_after {
+                boot.limits.max_retry_after_ms
+            } else {
+                0.0
+            })?,
             cancel: boot.limits.may_cancel,
         },
     })
@@ -160,8 +167,8 @@
         Some(other) => return Err(format!("key scope {other:?} is not known")),
     };
     Ok(Class {
-        aim_ms: class.aim_ms,
-        deadline_ms: class.hard_limit_ms,
+        aim: millis(class.aim_ms)?,
+        deadline: millis(class.hard_limit_ms)?,
         worth: class.worth,
         late_worth: class.late_worth,
         effect: match class.effect.as_str() {
@@ -170,7 +177,7 @@
             "non_idempotent" => Effect::Unsafe,
             other => return Err(format!("effect {other:?} is not known")),
         },
-        window_ms: class.window_ms,
+        window: millis(class.window_ms)?,
         in_order: class.one_at_a_time,
     })
 }
@@ -184,3 +191,8 @@
         price: level.value_factor,
     }
 }
+
+/// A span that the settings state in milliseconds.
+fn millis(span: f64) -> Result<Duration, String> {
+    Duration::try_from_secs_f64(span / 1000.0).map_err(|_| format!("{span} ms is no span"))
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,26 +4,32 @@
 use topazpath::interface::*;
 use topazpath::Scheduler;
 
+pub use std::time::Duration;
+
 /// Time between two looks of a run, and the start of every script.
-pub const LOOK_MS: Millis = 5.0;
-pub const START: Millis = 100_000.0;
+pub const LOOK: Duration = ms(5);
+pub const START: Duration = ms(100_000);
+
+pub const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
 
 pub struct Host {
     scheduler: Scheduler,
-    pub now: Millis,
+    pub now: Duration,
     /// Every action so far with its time.
-    pub log: Vec<(Millis, Action)>,
+    pub log: Vec<(Duration, Action)>,
     next_id: u64,
 }
 
 pub fn class(effect: Effect) -> Class {
     Class {
-        aim_ms: 400.0,
-        deadline_ms: 3000.0,
+        aim: ms(400),
+        deadline: ms(3000),
         worth: 2.0,
         late_worth: 0.2,
         effect,
-        window_ms: 1000.0,
+        window: ms(1000),
         in_order: false,
     }
 }
@@ -31,7 +37,7 @@
 pub fn settings(classes: Vec<Class>) -> Settings {
     Settings {
         hosts: 2,
-        tick_ms: 1.0,
+        tick: ms(1),
         list_on_request: false,
         classes,
         plans: vec![Plan { reserve: 0.0, limit: None, weight: 1.0, price: 1.0 }],
@@ -45,26 +51,21 @@
             ..Units::default()
         },
         rules: Rules {
-            answer_slack_ms: 8.0,
-            drain_grace_ms: 1000.0,
+            answer_slack: ms(8),
+            drain_grace: ms(1000),
             cold_share: 0.2,
-            cold_ms: 10_000.0,
+            cold: ms(10_000),
             fall_multiple: 2.0,
-            fall_ms: 1000.0,
-            order_settle_ms: 100.0,
+            fall: ms(1000),
+            order_settle: ms(100),
             budget: None,
         },
-        limits: Limits {
-            max_attempts: 4,
-            connect_timeout_ms: 100.0,
-            max_retry_after_ms: 2000.0,
-            cancel: true,
-        },
+        limits: Limits { max_attempts: 4, connect_timeout: ms(100), max_retry_after: ms(2000), cancel: true },
     }
 }
 
 pub fn node(id: u32, shard: u32) -> NodeEntry {
-    NodeEntry { node: NodeId(id), shard, zone: 0, started: 0.0, state: NodeState::Ready, fixed: false }
+    NodeEntry { node: NodeId(id), shard, zone: 0, started: None, state: NodeState::Ready, fixed: false }
 }
 
 impl Host {
@@ -99,7 +100,7 @@
             plan: 0,
             volume: VolumeId(1),
             key,
-            deadline: self.now + 3000.0,
+            deadline: self.now + ms(3000),
             units: 2.0,
             shard: Some(shard),
             volume_hosts: 1.0,
@@ -126,11 +127,11 @@
     }
 
     /// Lets time pass with a look every few milliseconds.
-    pub fn run(&mut self, span: Millis) -> Vec<Action> {
+    pub fn run(&mut self, span: Duration) -> Vec<Action> {
         let until = self.now + span;
         let mut actions = Vec::new();
         while self.now < until {
-            self.now += LOOK_MS;
+            self.now += LOOK;
             actions.extend(self.handle(&[Event::Wake]));
         }
         actions
@@ -138,7 +139,7 @@
 
     /// Requests sent so far, in order.
     pub fn sent(&self) -> Vec<RequestId> {
-        let sent = |(_, action): &(Millis, Action)| match action {
+        let sent = |(_, action): &(Duration, Action)| match action {
             Action::Send { id, .. } => Some(*id),
             _ => None,
         };
@@ -146,7 +147,7 @@
     }
 
     /// Final answers for a request, with their times.
-    pub fn answers(&self, wanted: RequestId) -> Vec<(Millis, Action)> {
+    pub fn answers(&self, wanted: RequestId) -> Vec<(Duration, Action)> {
         let is_answer = |action: &Action| match action {
             Action::Refuse { id, .. } | Action::Fail { id } => *id == wanted,
             _ => false,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -13,7 +13,7 @@
 fn warm_up(host: &mut Host) {
     for _ in 0..20 {
         let id = host.request(0, 0, 0);
-        host.run(30.0);
+        host.run(ms(30));
         host.end(id, 0, 1, Outcome::Served);
     }
 }
@@ -25,7 +25,7 @@
     let before = host.sent().len();
     for _ in 0..100 {
         host.request(0, 0, 0);
-        host.run(20.0);
+        host.run(ms(20));
     }
     let sent = host.sent().len() - before;
     assert!((2..=12).contains(&sent), "{sent} of 100 sent to a silent node");
@@ -37,11 +37,11 @@
     let mut host = Host::new(safe(), &[node(1, 0)]);
     warm_up(&mut host);
     let lost = host.request(0, 0, 0);
-    host.run(10.0);
+    host.run(ms(10));
     let mut withdrawn = Vec::new();
     for _ in 0..10 {
         let id = host.request(0, 0, 0);
-        withdrawn.extend(host.run(30.0));
+        withdrawn.extend(host.run(ms(30)));
         if host.sent().contains(&id) {
             withdrawn.extend(host.end(id, 0, 1, Outcome::Served));
         }
@@ -49,7 +49,7 @@
     let cancels = withdrawn.iter().filter(|action| **action == Action::Cancel { id: lost, attempt: 0 });
     assert_eq!(cancels.count(), 1);
     host.end(lost, 0, 1, Outcome::Cancelled);
-    host.run(50.0);
+    host.run(ms(50));
     assert_eq!(host.sent().iter().filter(|id| **id == lost).count(), 2);
 }
 
@@ -60,7 +60,7 @@
     let lost = host.request(0, 0, 0);
     for _ in 0..20 {
         let id = host.request(0, 0, 0);
-        let actions = host.run(30.0);
+        let actions = host.run(ms(30));
         assert!(!actions.iter().any(|action| matches!(action, Action::Cancel { .. })));
         if host.sent().contains(&id) {
             host.end(id, 0, 1, Outcome::Served);
@@ -75,12 +75,12 @@
     let mut settings = safe();
     settings.hosts = 200;
     settings.units.cold_units = 40.0;
-    let cold = [NodeEntry { started: START - 1.0, ..node(1, 0) }];
+    let cold = [NodeEntry { started: Some(START - ms(1)), ..node(1, 0) }];
     let mut hosts: Vec<_> = (0..200).map(|seed| Host::seeded(settings.clone(), &cold, seed)).collect();
     let mut sends = Vec::new();
     for step in 0..200usize {
         for (number, host) in hosts.iter_mut().enumerate() {
-            host.now += 20.0;
+            host.now += ms(20);
             let mut new = host.new_request(0, 0, 0);
             // Every size up to the largest.
             new.units = ((step + number) % 6 + 1) as f64;
@@ -107,7 +107,7 @@
     for _ in 0..8 {
         host.request(0, 0, 5);
     }
-    host.run(50.0);
+    host.run(ms(50));
     assert_eq!(host.sent().len(), 1, "one of the key is out, seven wait");
     let free = host.request(0, 1, 6);
     let beside = host.request(0, 0, 7);
@@ -120,14 +120,14 @@
     settings.list_on_request = true;
     let mut host = Host::new(settings, &[node(1, 0), node(2, 1), node(3, 2)]);
     warm_up(&mut host);
-    host.list(ListKind::Delta, &[NodeEntry { started: host.now, ..node(2, 1) }]);
+    host.list(ListKind::Delta, &[NodeEntry { started: Some(host.now), ..node(2, 1) }]);
     host.list(ListKind::Failed, &[]);
     let start = host.log.len();
     let (mut served, mut ids) = (0, Vec::new());
     for round in 0..100 {
         let id = host.request(0, round % 3, 0);
         ids.push(id);
-        host.run(20.0);
+        host.run(ms(20));
         // Node 1 is silent; the others answer.
         if host.sent().contains(&id) && round % 3 != 0 {
             host.end(id, 0, round % 3 + 1, Outcome::Served);
@@ -137,7 +137,7 @@
     assert!(served >= 33, "the sound node and part of the cold one are used: {served}");
     let asks = host.log[start..].iter().filter(|(_, action)| *action == Action::Subscribe).count();
     assert_eq!(asks, 1, "asked again once, after a pause");
-    host.run(3500.0);
+    host.run(ms(3500));
     let silent = ids.iter().step_by(3).filter(|id| host.sent().contains(id)).count();
     let answered = ids.iter().step_by(3).filter(|id| host.answers(**id).len() == 1).count();
     assert_eq!(silent + answered, 34, "each of the silent node's is out or answered");
@@ -158,7 +158,7 @@
         let events: Vec<Event> = wanted.iter().cloned().map(Event::Request).collect();
         host.handle(&events);
         open.extend(wanted);
-        host.run(20.0);
+        host.run(ms(20));
         let sent = host.sent();
         for new in open.extract_if(.., |new| sent.contains(&new.id)) {
             host.end(new.id, 0, 1, Outcome::Served);
@@ -174,12 +174,12 @@
     let mut new = host.new_request(0, 0, 0);
     new.shard = None;
     host.handle(&[Event::Request(new.clone())]);
-    host.run(300.0);
+    host.run(ms(300));
     host.list(ListKind::Full, &[node(9, 4)]);
     assert_eq!(host.sent(), [new.id], "a new object goes to the first node that is listed");
     host.list(ListKind::Full, &[]);
     let stranded = host.request(0, 4, 0);
-    host.run(4000.0);
+    host.run(ms(4000));
     assert_eq!(host.answers(stranded).len(), 1);
 }
 
@@ -188,13 +188,13 @@
     let mut host = Host::new(safe(), &[node(1, 0)]);
     let ids: Vec<_> = (0..20).map(|_| host.request(0, 0, 0)).collect();
     let out = host.sent();
-    host.now += 3_600_000.0;
+    host.now += ms(3_600_000);
     host.handle(&[Event::Wake]);
     for id in ids.iter().filter(|id| !out.contains(id)) {
         assert_eq!(host.answers(*id).len(), 1);
     }
     let fresh = host.request(0, 0, 0);
-    host.run(2000.0);
+    host.run(ms(2000));
     assert!(host.sent().contains(&fresh) || host.answers(fresh).len() == 1);
 }
 
@@ -211,7 +211,7 @@
         host.end(*id, 0, 1, Outcome::NotConnected);
     }
     let after = host.sent().len();
-    host.run(1000.0);
+    host.run(ms(1000));
     assert!(host.sent().len() <= after + 1, "a single request out while it fails");
 }
 
@@ -225,7 +225,7 @@
     host.list(ListKind::Full, &[node(1, 0)]);
     host.list(ListKind::Failed, &[]);
     assert_eq!(asked(&host), 1, "not at once");
-    host.run(9000.0);
+    host.run(ms(9000));
     assert_eq!(asked(&host), 2);
     let id = host.request(0, 0, 0);
     assert!(host.sent().contains(&id), "the old list stands");
@@ -235,7 +235,7 @@
 fn late_and_repeated_outcomes_change_nothing() {
     let mut host = Host::new(safe(), &[node(1, 0)]);
     let id = host.request(0, 0, 0);
-    host.run(20.0);
+    host.run(ms(20));
     host.end(id, 0, 1, Outcome::Served);
     let before = host.log.len();
     host.end(id, 0, 1, Outcome::TimedOut);
@@ -251,7 +251,7 @@
     let id = host.request(0, 0, 0);
     assert_eq!(host.sent(), [id]);
     host.handle(&[Event::StreamStarted { id }]);
-    host.run(5000.0);
+    host.run(ms(5000));
     assert!(host.answers(id).is_empty(), "a stream that has begun has no deadline");
     assert!(!host.log.iter().any(|(_, action)| matches!(action, Action::Cancel { .. })));
 }
@@ -263,7 +263,7 @@
     settings.units.base_rates = vec![20.0];
     let mut host = Host::new(settings, &[node(1, 0)]);
     let mut ended = 0;
-    let mut sent_of_40 = |latency: Millis| {
+    let mut sent_of_40 = |latency: Duration| {
         let before = (0..600).fold(0, |_, _| {
             host.request(0, 0, 0);
             host.run(latency);
@@ -283,10 +283,10 @@
         }
         ended - before
     };
-    assert_eq!(sent_of_40(100.0), 40);
-    let late = sent_of_40(350.0);
+    assert_eq!(sent_of_40(ms(100)), 40);
+    let late = sent_of_40(ms(350));
     assert!((1..=20).contains(&late), "{late} of 40 let through");
-    assert_eq!(sent_of_40(100.0), 40, "and back again");
+    assert_eq!(sent_of_40(ms(100)), 40, "and back again");
 }
 
 #[test]
@@ -295,13 +295,13 @@
     let mut host = Host::new(safe(), &[node(1, 0)]);
     for _ in 0..20 {
         let id = host.request(0, 0, 0);
-        host.run(300.0);
+        host.run(ms(300));
         host.end(id, 0, 1, Outcome::Served);
     }
     let mut new = host.new_request(0, 0, 0);
-    new.deadline = host.now + 60.0;
+    new.deadline = host.now + ms(60);
     let actions = host.handle(&[Event::Request(new.clone())]);
-    assert!(actions.contains(&Action::Refuse { id: new.id, retry_after: 2000.0 }), "{actions:?}");
+    assert!(actions.contains(&Action::Refuse { id: new.id, retry_after: ms(2000) }), "{actions:?}");
     assert_eq!(sends(&actions), 0);
 }
 
@@ -311,11 +311,11 @@
     warm_up(&mut host);
     let filling: Vec<_> = (0..12).map(|_| host.request(0, 0, 0)).collect();
     let mut late = host.new_request(0, 0, 0);
-    late.deadline -= 1000.0;
+    late.deadline -= ms(1000);
     host.handle(&[Event::Request(late.clone())]);
     let fresh = host.request(0, 0, 0);
     assert!(!host.sent().contains(&fresh) && !host.sent().contains(&late.id));
-    host.run(20.0);
+    host.run(ms(20));
     let mut first = None;
     for id in filling {
         if host.sent().contains(&id) {
@@ -334,7 +334,7 @@
         settings.plans[0].weight = 0.0;
         settings.units.cold_units = 0.0;
         settings.plans[0].limit = Some(Limit { rate: 30.0, burst: 36.0, slack: 6.0 });
-        let cold = NodeEntry { started: START - 1.0, ..node(2, 1) };
+        let cold = NodeEntry { started: Some(START - ms(1)), ..node(2, 1) };
         let mut host = Host::new(settings, &[node(1, 0), cold]);
         let mut ids = Vec::new();
         for round in 0..40 {
@@ -344,9 +344,9 @@
             new.volume = VolumeId(u64::from(round % 3));
             host.handle(&[Event::Request(new.clone())]);
             ids.push(new.id);
-            host.run(20.0);
+            host.run(ms(20));
         }
-        host.run(4000.0);
+        host.run(ms(4000));
         let sent = host.sent();
         assert!(!sent.is_empty(), "{hosts} hosts");
         for id in ids.iter().filter(|id| !sent.contains(id)) {
@@ -362,7 +362,7 @@
         let new = NewRequest { units: 1000.0, ..host.new_request(0, 0, 0) };
         host.handle(&[Event::Request(new.clone())]);
         assert_eq!(host.sent(), [new.id], "larger than the stated largest");
-        host.now += 20.0;
+        host.now += ms(20);
         let elsewhere = -used;
         host.handle(&[Event::AttemptEnded(AttemptEnd {
             id: new.id,
@@ -370,7 +370,7 @@
             node: NodeId(1),
             outcome: Outcome::Served,
             finished: true,
-            latency: 20.0,
+            latency: ms(20),
             used: Some(used),
             elsewhere,
         })]);
@@ -381,12 +381,12 @@
         let mut again = Vec::new();
         for _ in 0..40 {
             again.push(host.request(0, 0, 0));
-            host.run(100.0);
+            host.run(ms(100));
             for id in host.sent().split_off(again.len().min(host.sent().len())) {
                 host.end(id, 0, 1, Outcome::Served);
             }
         }
-        host.run(4000.0);
+        host.run(ms(4000));
         let sent = host.sent();
         assert!(again.iter().all(|id| sent.contains(id) || host.answers(*id).len() == 1), "{used}");
     }
@@ -402,7 +402,7 @@
     }
     assert_eq!(host.sent(), [here]);
     assert!(host.answers(nowhere).is_empty());
-    host.run(4000.0);
+    host.run(ms(4000));
     assert_eq!(host.answers(nowhere).len(), 1);
 }
 
@@ -414,11 +414,11 @@
     let mut host = Host::new(settings, &[node(1, 0), node(2, 1)]);
     for _ in 0..20 {
         let (slow, sound) = (host.request(0, 0, 0), host.request(0, 1, 0));
-        host.run(50.0);
+        host.run(ms(50));
         if host.sent().contains(&sound) {
             host.end(sound, 0, 2, Outcome::Served);
         }
-        host.run(900.0);
+        host.run(ms(900));
         if host.sent().contains(&slow) {
             host.end(slow, 0, 1, Outcome::Served);
         }
@@ -426,7 +426,7 @@
     let news: Vec<_> = (0..4).map(|_| host.request(0, 0, 0)).collect();
     let held = news.iter().filter(|id| !host.sent().contains(id)).count();
     assert!(held > 0, "the slow node is spared");
-    host.list(ListKind::Delta, &[NodeEntry { started: host.now - 20_000.0, ..node(1, 0) }]);
+    host.list(ListKind::Delta, &[NodeEntry { started: Some(host.now - ms(20_000)), ..node(1, 0) }]);
     assert!(news.iter().filter(|id| !host.sent().contains(id)).count() < held, "warm again, it is used");
 }
 
@@ -436,14 +436,14 @@
     let mut host = Host::new(safe(), &[node(1, 0)]);
     let stuck: Vec<RequestId> = (0..8).map(|_| host.request(0, 0, 0)).collect();
     let start = host.now;
-    host.run(3000.0);
+    host.run(ms(3000));
     let unsent: Vec<_> = stuck.iter().filter(|id| !host.sent().contains(id)).collect();
     assert!(!unsent.is_empty(), "the silent node bears less than all of them");
     for id in unsent {
         let answers = host.answers(*id);
         assert_eq!(answers.len(), 1);
-        assert!(matches!(answers[0].1, Action::Refuse { retry_after, .. } if retry_after > 0.0));
+        assert!(matches!(answers[0].1, Action::Refuse { retry_after, .. } if !retry_after.is_zero()));
         let after = answers[0].0 - start;
-        assert!((1400.0..1500.0).contains(&after), "refused after {after} of 3000 ms");
+        assert!((ms(1400)..ms(1500)).contains(&after), "refused after {after:?} of 3 s");
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -13,11 +13,11 @@
 fn rule_1_a_held_request_gets_one_answer_before_its_deadline() {
     let mut host = Host::new(safe(), &[]);
     let id = host.request(0, 0, 0);
-    host.run(6000.0);
+    host.run(ms(6000));
     let answers = host.answers(id);
     assert_eq!(answers.len(), 1);
-    assert!(answers[0].0 < START + 3000.0);
-    assert!(matches!(answers[0].1, Action::Refuse { retry_after, .. } if retry_after > 0.0));
+    assert!(answers[0].0 < START + ms(3000));
+    assert!(matches!(answers[0].1, Action::Refuse { retry_after, .. } if !retry_after.is_zero()));
     assert!(host.sent().is_empty());
 }
 
@@ -25,10 +25,10 @@
 fn rule_1_an_attempt_that_times_out_at_the_deadline_is_answered_at_once() {
     let mut host = Host::new(safe(), &[node(1, 0)]);
     let id = host.request(0, 0, 0);
-    host.now = START + 3000.0;
+    host.now = START + ms(3000);
     host.end(id, 0, 1, Outcome::TimedOut);
     assert_eq!(host.answers(id).len(), 1);
-    host.run(3000.0);
+    host.run(ms(3000));
     assert_eq!((host.answers(id).len(), host.sent().len()), (1, 1));
 }
 
@@ -38,7 +38,7 @@
     let id = host.request(0, 0, 0);
     host.handle(&[Event::ClientGone { id }]);
     host.list(ListKind::Full, &[node(1, 0)]);
-    host.run(4000.0);
+    host.run(ms(4000));
     assert!(host.sent().is_empty() && host.answers(id).is_empty());
 }
 
@@ -53,9 +53,9 @@
     ] {
         let mut host = Host::new(settings(vec![class(Effect::Unsafe)]), &[node(1, 0)]);
         let id = host.request(0, 0, 0);
-        host.now += 20.0;
+        host.now += ms(20);
         host.end(id, 0, 1, outcome);
-        host.run(1500.0);
+        host.run(ms(1500));
         assert_eq!(host.sent().len(), if again { 2 } else { 1 }, "{outcome:?}");
         if !again {
             assert!(matches!(host.answers(id)[..], [(_, Action::Fail { .. })]), "{outcome:?}");
@@ -74,9 +74,9 @@
         Some((_, Action::Send { node, .. })) => *node,
         _ => panic!("a new object goes out at once"),
     };
-    host.now += 20.0;
+    host.now += ms(20);
     host.end(new.id, 0, first.0, Outcome::Error);
-    host.run(200.0);
+    host.run(ms(200));
     let nodes = host.log.iter().filter_map(|(_, action)| match action {
         Action::Send { node, .. } => Some(*node),
         _ => None,
@@ -86,9 +86,9 @@
 
     let mut late = Host::new(keyed(), &[node(1, 0)]);
     let id = late.request(0, 0, 7);
-    late.now += 1200.0;
+    late.now += ms(1200);
     late.end(id, 0, 1, Outcome::Error);
-    late.run(1000.0);
+    late.run(ms(1000));
     assert_eq!(late.sent().len(), 1);
     assert!(matches!(late.answers(id)[..], [(_, Action::Fail { .. })]));
 }
@@ -97,12 +97,12 @@
 fn rule_2_a_keyed_request_held_past_its_window_is_not_sent_again() {
     let mut host = Host::new(settings(vec![class(Effect::Keyed(Group::Shard))]), &[node(1, 0)]);
     let id = host.request(0, 0, 7);
-    host.now += 20.0;
+    host.now += ms(20);
     host.list(ListKind::Delta, &[NodeEntry { state: NodeState::Draining, ..node(1, 0) }]);
     host.end(id, 0, 1, Outcome::Error);
-    host.run(1100.0);
+    host.run(ms(1100));
     host.list(ListKind::Delta, &[node(1, 0)]);
-    host.run(3000.0);
+    host.run(ms(3000));
     assert_eq!(host.sent().len(), 1);
     assert!(matches!(host.answers(id)[..], [(_, Action::Fail { .. })]));
 }
@@ -113,26 +113,26 @@
         let mut host = Host::new(safe(), &[node(1, 0)]);
         host.list(ListKind::Delta, &[NodeEntry { state, ..node(1, 0) }]);
         host.request(0, 0, 0);
-        host.run(1000.0);
+        host.run(ms(1000));
         assert!(host.sent().is_empty(), "{state:?}");
     }
     let mut host = Host::new(safe(), &[node(1, 0), node(2, 1)]);
     host.list(ListKind::Full, &[node(2, 1)]);
     host.request(0, 0, 0);
-    host.run(1000.0);
+    host.run(ms(1000));
     assert!(host.sent().is_empty(), "absent from a full list");
 }
 
 #[test]
 fn rule_4_a_cold_node_gets_this_hosts_part_of_what_it_always_bears() {
-    let mut host = Host::new(safe(), &[NodeEntry { started: START - 1.0, ..node(1, 0) }]);
+    let mut host = Host::new(safe(), &[NodeEntry { started: Some(START - ms(1)), ..node(1, 0) }]);
     let mut sent = 0;
     for _ in 0..120 {
-        host.now += 20.0;
+        host.now += ms(20);
         host.request(0, 0, 0);
         for id in host.sent().split_off(sent) {
             sent += 1;
-            host.now += 5.0;
+            host.now += ms(5);
             host.end(id, 0, 1, Outcome::Served);
         }
     }
@@ -146,30 +146,30 @@
     let mut host = Host::new(settings(vec![ordered]), &[node(1, 0)]);
     let (first, second) = (host.request(0, 0, 9), host.request(0, 0, 9));
     let other = host.request(0, 0, 8);
-    host.run(100.0);
+    host.run(ms(100));
     assert_eq!(host.sent(), [first, other]);
     // The client of the first gives up; its attempt is still out.
     host.handle(&[Event::ClientGone { id: first }]);
-    host.run(100.0);
+    host.run(ms(100));
     assert_eq!(host.sent(), [first, other]);
     host.end(first, 0, 1, Outcome::Cancelled);
-    host.run(90.0);
+    host.run(ms(90));
     assert_eq!(host.sent(), [first, other], "the key rests");
-    host.run(20.0);
+    host.run(ms(20));
     assert_eq!(host.sent(), [first, other, second]);
 }
 
 #[test]
 fn rule_6_further_attempts_stay_within_the_budget() {
     let mut settings = safe();
-    settings.rules.budget = Some(Budget { free: 1.0, share: 0.25, window_ms: 5000.0 });
+    settings.rules.budget = Some(Budget { free: 1.0, share: 0.25, window: ms(5000) });
     let mut host = Host::new(settings, &[node(1, 0), node(2, 1), node(3, 2), node(4, 3)]);
     let ids: Vec<_> = (0..4).map(|shard| host.request(0, shard, 0)).collect();
-    host.now += 10.0;
+    host.now += ms(10);
     for (shard, id) in ids.iter().enumerate() {
         host.end(*id, 0, shard as u32 + 1, Outcome::Error);
     }
-    host.run(2000.0);
+    host.run(ms(2000));
     // One in any case and a quarter of the four taken.
     assert_eq!(host.sent().len(), 4 + 2);
 }
@@ -184,7 +184,7 @@
         let mut new = host.new_request(0, round % 2, 0);
         new.volume_hosts = 3.0;
         host.handle(&[Event::Request(new.clone())]);
-        host.now += 10.0;
+        host.now += ms(10);
         if host.sent().last() == Some(&new.id) {
             host.end(new.id, 0, round % 2 + 1, Outcome::Served);
         }
@@ -208,7 +208,7 @@
     for step in 0..400 {
         store = (store + limit.rate * 0.05).min(limit.burst);
         for (number, host) in hosts.iter_mut().enumerate() {
-            host.now += 50.0;
+            host.now += ms(50);
             // Mixed sizes, then only the largest: those come through when no smaller one is before them.
             let units = if step < 200 { ((step + number) % 6 + 1) as f64 } else { 6.0 };
             let new = NewRequest { units, volume_hosts: 24.0, ..host.new_request(0, 0, 0) };
@@ -216,7 +216,7 @@
             if sent {
                 store -= units;
                 largest = largest.max(units);
-                host.now += 1.0;
+                host.now += ms(1);
                 host.end(new.id, 0, 1, Outcome::Served);
             } else {
                 host.handle(&[Event::ClientGone { id: new.id }]);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -7,6 +7,7 @@
 use proptest::prelude::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
+use std::time::Duration;
 use topazpath::interface::*;
 
 const SETTINGS: &str = r#"{"siblings": 2, "tick_ms": 1.0, "discovery": "pushed", "never_seen": [1],
@@ -146,7 +147,7 @@
             node: NodeId(4),
             outcome,
             finished: false,
-            latency: 12.5,
+            latency: Duration::from_micros(12_500),
             used: Some(2.5),
             elsewhere: 3.0,
         };
@@ -161,10 +162,10 @@
     reply.select(5);
     reply.internal_error("why");
     let actions = [
-        Action::Refuse { id: RequestId(1), retry_after: 250.0 },
+        Action::Refuse { id: RequestId(1), retry_after: Duration::from_millis(250) },
         Action::Fail { id: RequestId(2) },
         Action::Cancel { id: RequestId(3), attempt: 1 },
-        Action::WakeAt(9.0),
+        Action::WakeAt(Duration::from_millis(9)),
         Action::Subscribe,
     ];
     actions.iter().for_each(|action| reply.action(action));
@@ -188,15 +189,15 @@
     })]
 
     #[test]
-    fn requests_are_read_as_they_were_written(id in 0u64..1 << 52, deadline in 0f64..1e12, shard in -1i32..65536) {
-        let records = parse(&batch(1, 1.0, &[inbound(id, deadline, shard as f32)])).expect("well formed");
+    fn requests_are_read_as_they_were_written(id in 0u64..1 << 52, deadline in 0u32.., shard in -1i32..65536) {
+        let records = parse(&batch(1, 1.0, &[inbound(id, deadline.into(), shard as f32)])).expect("well formed");
         let expected = NewRequest {
             id: RequestId(id),
             class: 0,
             plan: 0,
             volume: VolumeId(9),
             key: 5,
-            deadline,
+            deadline: Duration::from_millis(deadline.into()),
             units: 2.0,
             shard: u32::try_from(shard).ok(),
             volume_hosts: 1.0,
@@ -206,7 +207,7 @@
 
     #[test]
     fn no_bytes_make_the_reader_panic(body in prop::collection::vec(any::<u8>(), 0..200), records in 0u32..9) {
-        let header = BatchHeader { sequence: 1, length: body.len() as u32, now: 1.0, records };
+        let header = BatchHeader { sequence: 1, length: body.len() as u32, now: Duration::from_millis(1), records };
         if let Ok(read) = read_records(&header, &body) {
             prop_assert_eq!(read.len(), records as usize);
         }
