Tell clients when to come back also where the core refuses by itself

Seen: a refusal without a planner, or past a deadline that it let pass, went out as a bare -BUSY. At fault: Core::end_without_planner; it now names the settings' longest wait, as the module does.

Tests beside it: a silent discovery is asked again on a new connection; what was never sent goes to another node.

--- a/src/core.rs
+++ b/src/core.rs
@@ -201,11 +201,13 @@
     /// Bytes of the bodies held.
     held_bytes: usize,
     last_id: u64,
+    /// When a client is to come again that the core refuses by itself.
+    retry_after: Duration,
     pub counters: Counters,
 }
 
 impl Core {
-    pub fn new(clock: Clock) -> Self {
+    pub fn new(clock: Clock, retry_after: Duration) -> Self {
         Core {
             clock,
             requests: HashMap::new(),
@@ -214,6 +216,7 @@
             effects: Vec::new(),
             held_bytes: 0,
             last_id: 0,
+            retry_after,
             counters: Counters::default(),
         }
     }
@@ -383,7 +386,7 @@
             let attempt = AttemptId { request: id, number: number as u32 };
             self.effects.push(Effect::Stop { attempt, outcome: Outcome::Cancelled });
         }
-        let refused = Answer::Refused { retry_after: Duration::ZERO };
+        let refused = Answer::Refused { retry_after: self.retry_after };
         self.answer(id, if ran { Answer::Failed } else { refused });
         self.close_if_over(id);
     }
@@ -417,6 +420,8 @@
 mod tests {
     use super::*;
 
+    const AGAIN: Duration = Duration::from_millis(500);
+
     struct Bench {
         core: Core,
         clock: Clock,
@@ -426,7 +431,7 @@
     impl Bench {
         fn new() -> Self {
             let clock = Clock::start();
-            Bench { core: Core::new(clock), clock, now: Instant::now() }
+            Bench { core: Core::new(clock, AGAIN), clock, now: Instant::now() }
         }
 
         /// Takes a request with a second to its deadline.
@@ -517,7 +522,7 @@
         bench.end(ran, 0, Outcome::Reset);
         bench.pass(600);
         let effects = bench.pass(500);
-        let refused = Answer::Refused { retry_after: Duration::ZERO };
+        let refused = Answer::Refused { retry_after: AGAIN };
         assert_eq!(Bench::answers(&effects), [refused.clone(), refused, Answer::Failed, Answer::Failed]);
         let gone = [held, full, out, ran].map(|id| Event::ClientGone { id });
         assert_eq!(bench.core.drain_events()[6..], gone);
@@ -554,7 +559,7 @@
         bench.send(out);
         bench.core.lose_planner();
         let effects = bench.core.drain_effects();
-        let refused = Answer::Refused { retry_after: Duration::ZERO };
+        let refused = Answer::Refused { retry_after: AGAIN };
         assert_eq!(Bench::answers(&effects), [refused, Answer::Failed]);
         bench.core.lose_planner();
         assert_eq!(Bench::answers(&bench.core.drain_effects()), []);
--- a/src/forwarder.rs
+++ b/src/forwarder.rs
@@ -158,7 +158,7 @@
         };
         let mut forwarder = Forwarder {
             poll,
-            core: Core::new(clock),
+            core: Core::new(clock, retry_after),
             link,
             resp,
             iscsi: iscsi.transpose()?,
--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -168,6 +168,8 @@
     body: String,
     /// Version after which the last watch asked.
     watched: Option<u64>,
+    /// Connections that are to get no answer.
+    silent: u32,
     /// How often the whole list was asked for.
     fetched: u32,
 }
@@ -175,13 +177,29 @@
 impl Discovery {
     /// With nodes as (name, address, shard), all active.
     pub fn start(nodes: &[(&str, SocketAddr, u32)]) -> Discovery {
+        Discovery::silent_at_first(0, nodes)
+    }
+
+    /// The same, but the first connections get no answer.
+    pub fn silent_at_first(silent: u32, nodes: &[(&str, SocketAddr, u32)]) -> Discovery {
         let lines: Vec<String> =
             nodes.iter().map(|(name, address, shard)| line(name, *address, *shard, "active")).collect();
-        let state = Arc::new(Mutex::new(State::default()));
+        let state = Arc::new(Mutex::new(State { silent, ..State::default() }));
         let shared = state.clone();
         let address = serve(move |stream| {
             let mut reader = BufReader::new(stream.try_clone().unwrap());
             let mut stream = stream;
+            let is_silent = {
+                let mut state = shared.lock().unwrap();
+                let before = state.silent;
+                state.silent = before.saturating_sub(1);
+                before > 0
+            };
+            if is_silent {
+                // Until the program gives the connection up.
+                let _ = reader.read_to_end(&mut Vec::new());
+                return;
+            }
             loop {
                 let mut head = String::new();
                 while !head.ends_with("\r\n\r\n") {
--- a/tests/net/planner.rs
+++ b/tests/net/planner.rs
@@ -86,7 +86,7 @@
     let start = Instant::now();
     planners.processes[0].kill().unwrap();
     assert_eq!(client.receive(), Value::Error(b"ERR failed".to_vec()), "it may have run");
-    assert_eq!(client.receive(), Value::Error(b"BUSY".to_vec()), "it never ran");
+    assert_eq!(client.receive(), Value::Error(b"BUSY 500".to_vec()), "it never ran");
     assert!(
         start.elapsed() < Duration::from_millis(900),
         "at once, not at a deadline: {:?}",
@@ -114,6 +114,6 @@
     }
     eventually("the link is down", || {
         client.ask(1, 3, "", None);
-        (client.receive() == Value::Error(b"BUSY".to_vec())).then_some(())
+        (client.receive() == Value::Error(b"BUSY 500".to_vec())).then_some(())
     });
 }
--- a/tests/net/resp.rs
+++ b/tests/net/resp.rs
@@ -199,3 +199,32 @@
     assert!(start.elapsed() < Duration::from_millis(900), "after {:?}", start.elapsed());
     assert!(held.iter_mut().all(|client| error_of(client.receive()) == "BUSY 500"));
 }
+
+#[test]
+fn a_silent_discovery_is_asked_again_on_a_new_connection() {
+    let node = Node::echo();
+    let discovery = Discovery::silent_at_first(2, &[("s-1", node.address, 3)]);
+    // Starting waits until the list was taken.
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    client.ask(1, 3, "", None);
+    assert_eq!(client.receive(), bulk(b"0000000000000001"));
+}
+
+#[test]
+fn what_was_not_sent_goes_elsewhere_even_if_it_may_not_run_twice() {
+    // Nobody listens at the first node's address: its port was let go of.
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let node = Node::echo();
+    let discovery = Discovery::start(&[("s-1", closed, 3), ("s-2", node.address, 4)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    for piece in 0..10 {
+        client.ask(piece, -1, &format!(",k={piece:016x}"), Some(b"x"));
+        assert_eq!(client.receive(), bulk(b"x"));
+    }
+    assert_eq!(node.count(), 10);
+    client.send(&[b"INFO"]);
+    let info = String::from_utf8(bytes(client.receive())).unwrap();
+    assert!(!info.contains("attempts_not_connected:0\r\n"), "one was tried at the closed port: {info}");
+}
