--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -11,6 +11,7 @@
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,9 @@
 const MOST_UNREAD: usize = 256 * 1024;
 /// Unparsed input of a connection: a command of the largest size and some more.
 const MOST_INPUT: usize = 128 * 1024;
+/// How long an address may still be another's at the start, and how often it is tried.
+const BIND_PATIENCE: Duration = Duration::from_secs(2);
+const BIND_PAUSE: Duration = Duration::from_millis(10);
 /// A client makes room once it was idle for this long. What was accepted a moment ago may only not be read yet.
 const IDLE_BEFORE_ROOM: Duration = Duration::from_millis(250);
 /// The answer goes out this long before the client stops waiting. Guards against a busy machine on either side.
@@ -99,6 +103,20 @@
     closing: bool,
 }
 
+/// Listens at an address. Guards against a restart that comes while the process before still lets the last clients
+/// in: the address is free again soon.
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let start = Instant::now();
+    loop {
+        match TcpListener::bind(address) {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && start.elapsed() < BIND_PATIENCE => {
+                std::thread::sleep(BIND_PAUSE);
+            }
+            other => return other,
+        }
+    }
+}
+
 /// How much the clients of a front may take up.
 #[derive(Clone, Copy, Debug)]
 pub struct Room {
@@ -128,7 +146,7 @@
         clock: Clock,
         room: Room,
     ) -> std::io::Result<Self> {
-        let mut listener = TcpListener::bind(address)?;
+        let mut listener = bind(address)?;
         registry.register(&mut listener, token, Interest::READABLE)?;
         Ok(Front { protocol, listener: Some(listener), clients: HashMap::new(), clock, room })
     }
@@ -150,7 +168,7 @@
                     let crowded = self.clients.len() >= self.room.clients;
                     self.admit(now, stream, crowded, next(), registry);
                 }
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 Err(error) => {
                     tracing::warn!("accept: {error}");
                     return;
