--- a/src/front/iscsi.rs
+++ b/src/front/iscsi.rs
@@ -238,19 +238,19 @@
             session.target = Some(found.ok_or((2, 3))?);
             answers.push(("TargetPortalGroupTag", "1".to_string()));
         }
-        let at_least = |value: &str, most: usize| value.parse().map_or(most, |offer: usize| offer.min(most));
+        let at_most = |value: &str, most: usize| value.parse().map_or(most, |offer: usize| offer.min(most));
         for (name, value) in keys {
             let (name, answer) = match name.as_str() {
                 "InitiatorName" | "InitiatorAlias" | "SessionType" | "TargetName" => continue,
                 "MaxRecvDataSegmentLength" => {
-                    session.segment = at_least(value, MOST_DATA).max(512);
+                    session.segment = at_most(value, MOST_DATA).max(512);
                     ("MaxRecvDataSegmentLength", MOST_DATA.to_string())
                 }
                 "MaxBurstLength" => {
-                    session.max_burst = at_least(value, MAX_BURST).max(512);
+                    session.max_burst = at_most(value, MAX_BURST).max(512);
                     ("MaxBurstLength", session.max_burst.to_string())
                 }
-                "FirstBurstLength" => ("FirstBurstLength", at_least(value, FIRST_BURST).to_string()),
+                "FirstBurstLength" => ("FirstBurstLength", at_most(value, FIRST_BURST).to_string()),
                 "AuthMethod" => ("AuthMethod", "None".to_string()),
                 "HeaderDigest" => ("HeaderDigest", "None".to_string()),
                 "DataDigest" => ("DataDigest", "None".to_string()),
@@ -263,7 +263,7 @@
                 "ErrorRecoveryLevel" => ("ErrorRecoveryLevel", "0".to_string()),
                 "DefaultTime2Wait" => ("DefaultTime2Wait", value.clone()),
                 "DefaultTime2Retain" => ("DefaultTime2Retain", "0".to_string()),
-                "iSCSIProtocolLevel" => ("iSCSIProtocolLevel", at_least(value, 2).to_string()),
+                "iSCSIProtocolLevel" => ("iSCSIProtocolLevel", at_most(value, 2).to_string()),
                 _ => continue,
             };
             answers.push((name, answer));
--- a/src/vrrp.rs
+++ b/src/vrrp.rs
@@ -1,5 +1,5 @@
 //! The election of the active planner: VRRP version 3 (RFC 9568) as a function of state, event and time. Its
-//! socket is in [`crate::election`].
+//! socket is in `src/election.rs`.
 
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
