--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,8 +44,8 @@
 const REPEAT_COST: f64 = 0.5;
 /// Part of the cold rule's multiple for hosts: rates, each at least their mean, sum to twice a node's.
 const COLD_MARGIN: f64 = 0.5;
-/// Largest debt at a cold node, in mean requests. Half of it is what is left of a request in the mean, so that
-/// many hosts begin as they go on.
+/// Largest debt at a cold node, in mean requests. Half of it is what is left of a request in the mean, so
+/// that many hosts begin as they go on.
 const DEBT: f64 = 2.0;
 /// Part of a drain's grace in which a draining node is still used; the rest is for connecting.
 const DRAIN_PART: f64 = 0.85;
@@ -448,8 +448,8 @@
         self.forget();
     }
 
-    /// A shard's figure stands while only cold nodes or none serve it: a node that takes over gets what the one
-    /// before had, however little it serves at first.
+    /// A shard's figure stands while only cold nodes or none serve it: a node that takes over gets what the
+    /// one before had, however little it serves at first.
     fn learn_powers(&mut self, interval: Duration) {
         for node in self.nodes.values() {
             self.powers.entry(node.entry.shard).or_default().at = self.now;
