List calls pause, growing and drawn, and ask only for what came after the known list

Ruled out: queues (answers took 80 ms), connections at nodes (the same shards refused everybody), the limits.

At fault: Watch::ask_whole and Watch::pause in src/discovery.rs. Every failure, a 503 as well, was followed by a call for the whole list after exactly 50 ms, by all hosts in step. Their calls kept discovery overbooked for good. Harmless from 3 hosts.

Change: pauses double, each drawn from the seed (backoff.rs, which the planners' links use too), the first is 10 ms for each host of the fleet and spreads the first call as well; a refusal told nothing, so the same is asked again; at the start only what came after the known list; a watch waits 100 ms for each host (2 to 20 s).

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Keeps the node list: asks discovery for the whole list, then watches its changes, over HTTP/1.1.
 
+use crate::backoff::Backoff;
 use crate::conn::{Conn, Connecting, ReadEnd};
 use crate::interface::ListKind;
 use mio::{Registry, Token};
@@ -7,12 +8,18 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// How long a watch may wait at discovery. Short, so that silence shows soon.
-const WAIT: Duration = Duration::from_millis(2000);
+/// How long a watch may wait at discovery, for each initiator of the fleet: all of them together ask ten times a
+/// second, however many they are. Short in a small fleet, so that silence shows soon.
+const WAIT_PER_HOST: Duration = Duration::from_millis(100);
+const WAITS: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(20));
 /// Beyond the wait, how long an answer may take before the connection is given up.
 const SILENCE: Duration = Duration::from_millis(500);
-/// Pause before connecting again. A watch must go on within 200 ms of the last answer.
+/// Pause before connecting again after an answer. A watch must go on within 200 ms of it.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+/// The first pause after a failure, for each initiator of the fleet: those that fail together come back spread over
+/// it. It grows by the factor below at most. Before the first call of all it is spread over as well.
+const PAUSE_PER_HOST: Duration = Duration::from_millis(10);
+const LONGEST_PAUSE: u32 = 8;
 /// How long lists older than the one held are passed over before they are taken for a numbering begun anew.
 const OLDER_PATIENCE: Duration = Duration::from_secs(15);
 /// A longer answer is no node list.
@@ -110,10 +117,13 @@
 
 /// The node list as discovery tells it: from one address, and after a reload from the next as soon as that speaks.
 pub(crate) struct Discovery {
+    manner: Manner,
     /// The last is the address in force; one before it is listened to until the last has spoken.
     watches: Vec<Watch>,
-    /// Version of the list held; none before the first whole list.
+    /// Version of the list held; none before it has spoken.
     held: Option<u64>,
+    /// Version of the list known at the start: it asks for what came after that.
+    known: Option<u64>,
     /// Since when only lists older than the one held have come.
     older_since: Option<Instant>,
     /// When something that can be read came last.
@@ -121,10 +131,20 @@
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, token: Token, now: Instant) -> Self {
+    /// One of so many initiators, with the version of the list it knows.
+    pub fn new(
+        address: SocketAddr,
+        token: Token,
+        now: Instant,
+        known: Option<u64>,
+        (hosts, seed): (u32, u64),
+    ) -> Self {
+        let manner = Manner { hosts: hosts.max(1), seed };
         Discovery {
-            watches: vec![Watch::new(address, token, now)],
+            watches: vec![Watch::new(address, token, now, manner, known.is_none())],
+            manner,
             held: None,
+            known,
             older_since: None,
             heard: None,
         }
@@ -139,7 +159,7 @@
         // One that was named in between and has not spoken is nobody's any more.
         self.watches.truncate(1);
         if self.watches[0].address != address {
-            self.watches.push(Watch::new(address, token, now));
+            self.watches.push(Watch::new(address, token, now, self.manner, true));
         }
     }
 
@@ -168,7 +188,7 @@
     /// Something happened on a connection; a message may have come.
     pub fn ready(&mut self, now: Instant, token: Token) -> Option<News> {
         let at = self.watches.iter().position(|watch| watch.token == token)?;
-        let (message, fresh) = self.watches[at].ready(now, self.held)?;
+        let (message, fresh) = self.watches[at].ready(now, self.held.or(self.known))?;
         self.heard = Some(now);
         if self.is_older(now, &message) {
             tracing::warn!(index = message.index, "an older node list is passed over");
@@ -187,17 +207,39 @@
     /// before: its list would bring back nodes that are known to drain. A registry that counts anew is believed
     /// after a while.
     fn is_older(&mut self, now: Instant, message: &ListMessage) -> bool {
-        let older = self.held.is_some_and(|held| message.index < held);
+        // A list known at the start may be of another numbering; changes of an older version say so.
+        let held = self.held.or(self.known.filter(|_| !message.snapshot));
+        let older = held.is_some_and(|held| message.index < held);
         older && now - *self.older_since.get_or_insert(now) < OLDER_PATIENCE
     }
 }
 
+/// How one of a fleet asks.
+#[derive(Clone, Copy)]
+struct Manner {
+    hosts: u32,
+    seed: u64,
+}
+
+impl Manner {
+    fn wait(self) -> Duration {
+        WAIT_PER_HOST.saturating_mul(self.hosts).clamp(WAITS.0, WAITS.1)
+    }
+
+    fn backoff(self) -> Backoff {
+        let first = PAUSE_PER_HOST.saturating_mul(self.hosts).min(WAITS.0).max(RECONNECT_PAUSE);
+        Backoff::new(first, first * LONGEST_PAUSE, self.seed)
+    }
+}
+
 /// The conversation with discovery at one address.
 struct Watch {
     address: SocketAddr,
     token: Token,
     conn: Option<Conn>,
     state: State,
+    wait: Duration,
+    backoff: Backoff,
     /// The whole list is to be asked for, not what is newer than the list held.
     whole: bool,
     /// What was asked goes on from the answer before.
@@ -205,8 +247,12 @@
 }
 
 impl Watch {
-    fn new(address: SocketAddr, token: Token, now: Instant) -> Self {
-        Watch { address, token, conn: None, state: State::Pausing(now), whole: true, continues: false }
+    fn new(address: SocketAddr, token: Token, now: Instant, manner: Manner, whole: bool) -> Self {
+        let mut backoff = manner.backoff();
+        // Guards discovery against a fleet that starts at once.
+        let first = PAUSE_PER_HOST.saturating_mul(manner.hosts - 1).min(WAITS.0).mul_f64(backoff.draw());
+        let (state, wait) = (State::Pausing(now + first), manner.wait());
+        Watch { address, token, conn: None, state, wait, backoff, whole, continues: false }
     }
 
     fn next_timer(&self) -> Instant {
@@ -221,13 +267,16 @@
         }
         if !matches!(self.state, State::Pausing(_)) {
             tracing::debug!("discovery is silent");
+            // An answer that comes late after all is still taken.
+            self.state = State::Pausing(now + self.backoff.pause());
+            return;
         }
         match Conn::connect(self.address, self.token, registry) {
             Ok(conn) => {
                 self.conn = Some(conn);
                 self.state = State::Connecting(now + SILENCE);
             }
-            Err(_) => self.pause(now),
+            Err(_) => self.fail(now),
         }
     }
 
@@ -238,7 +287,7 @@
             match conn.connecting() {
                 Connecting::Pending => return None,
                 Connecting::Failed => {
-                    self.pause(now);
+                    self.fail(now);
                     return None;
                 }
                 Connecting::Up => self.ask(now, held, false),
@@ -249,18 +298,27 @@
         let answer = take_answer(&mut conn.input);
         conn.shed();
         if flushed.is_err() || matches!(answer, Ok(None) if end != ReadEnd::Blocked) {
-            self.pause(now);
+            self.fail(now);
             return None;
         }
-        match answer.and_then(|body| body.map(|body| ListMessage::parse(&body)).transpose()) {
+        if let Ok(Some((code, _))) = answer {
+            if code != 200 {
+                // It told nothing, so nothing is lost: what was asked is asked again.
+                tracing::debug!(code, "the old node list stands");
+                self.fail(now);
+                return None;
+            }
+        }
+        match answer.and_then(|told| told.map(|(_, body)| ListMessage::parse(&body)).transpose()) {
             Ok(None) => None,
             Ok(Some(message)) => {
                 let fresh = self.continues && !self.whole;
                 self.whole = false;
+                self.backoff.reset();
                 if end == ReadEnd::Blocked {
                     self.ask(now, held.max(Some(message.index)), true);
                 } else {
-                    self.pause(now);
+                    (self.conn, self.state) = (None, State::Pausing(now + RECONNECT_PAUSE));
                 }
                 Some((message, fresh))
             }
@@ -278,38 +336,36 @@
         let Some(conn) = &mut self.conn else { return };
         let (query, wait) = match held.filter(|_| !self.whole) {
             None => (String::new(), Duration::ZERO),
-            Some(index) => (format!("?after={index}&wait_ms={}", WAIT.as_millis()), WAIT),
+            Some(index) => (format!("?after={index}&wait_ms={}", self.wait.as_millis()), self.wait),
         };
         conn.push(
             format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address).as_bytes(),
         );
         self.state = State::Asked(now + wait + SILENCE);
         if conn.flush().is_err() {
-            self.pause(now);
+            self.fail(now);
         }
     }
 
     /// Asks for the whole list in a while.
     fn ask_whole(&mut self, now: Instant) {
         self.whole = true;
-        self.pause(now);
+        self.fail(now);
     }
 
-    fn pause(&mut self, now: Instant) {
+    fn fail(&mut self, now: Instant) {
         self.conn = None;
-        self.state = State::Pausing(now + RECONNECT_PAUSE);
+        self.state = State::Pausing(now + self.backoff.pause());
     }
 }
 
-/// Takes one whole HTTP answer off the input, and the interim ones (1xx) before it: its body, or nothing while it is
-/// not all there.
-fn take_answer(input: &mut Vec<u8>) -> Result<Option<Vec<u8>>, String> {
+/// Takes one whole HTTP answer off the input, and the interim ones (1xx) before it: its status and body, or nothing
+/// while it is not all there.
+fn take_answer(input: &mut Vec<u8>) -> Result<Option<(u16, Vec<u8>)>, String> {
     for _ in 0..MOST_INTERIM {
         match take_one(input)? {
             Some((100..=199, _)) => {}
-            Some((200, body)) => return Ok(Some(body)),
-            Some((code, _)) => return Err(format!("status {code}")),
-            None => return Ok(None),
+            last => return Ok(last),
         }
     }
     Err("interim answers without end".into())
@@ -394,7 +450,8 @@
                 came.push(byte);
             }
             let mut input = [whole.as_bytes(), b"HTTP"].concat();
-            let body = take_answer(&mut input).unwrap().unwrap();
+            let (code, body) = take_answer(&mut input).unwrap().unwrap();
+            assert_eq!(code, 200);
             assert_eq!(ListMessage::parse(&body).unwrap().endpoints[0].status, Status::Leaving);
             assert_eq!(input, b"HTTP");
         }
@@ -402,9 +459,7 @@
 
     #[test]
     fn answers_that_are_no_list_are_errors() {
-        for bad in
-            ["HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n", "nonsense\r\n\r\n"]
-        {
+        for bad in ["HTTP/1.1 200 OK\r\n\r\n", "nonsense\r\n\r\n"] {
             assert!(take_answer(&mut bad.as_bytes().to_vec()).is_err(), "{bad}");
         }
         assert!(take_answer(&mut b"HTTP/1.1 100 Continue\r\n\r\n".repeat(9)).is_err());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 //! ```
 #![warn(missing_docs)]
 
+mod backoff;
 mod clock;
 pub mod config;
 mod conn;
--- a/src/planner/client.rs
+++ b/src/planner/client.rs
@@ -2,6 +2,7 @@
 //! the store, and from the store what the scheduler is to know. Losing planners ends nothing: what they moved runs out.
 
 use super::frame::{self, FromPlanner, ToPlanner, HEAD, MOST, SCHEMA};
+use crate::backoff::Backoff;
 use crate::clock::Clock;
 use crate::conn::{Conn, Connecting, ReadEnd};
 use crate::interface::{Event, Settings, VolumeId};
@@ -22,7 +23,7 @@
 const ALIVE: u32 = 5;
 /// A connection that is not up by then, or says nothing for as long, is given up.
 const SILENCE: Duration = Duration::from_millis(1000);
-/// The pauses before the next try double from the first to the last, each with up to as much again drawn at random.
+/// The first and the longest pause before the next try.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1600));
 /// Bytes that wait for a planner that does not read; reports beyond are left out, and the next says it all.
 const MOST_UNREAD: usize = 64 * 1024;
@@ -44,7 +45,7 @@
     state: State,
     /// Partitions that it says it leads.
     leads: Vec<u16>,
-    failures: u32,
+    backoff: Backoff,
 }
 
 /// The planners of one forwarder.
@@ -64,7 +65,6 @@
     /// When parts may change by themselves.
     next_change: Instant,
     modes: Vec<Mode>,
-    random: u64,
     /// Plans taken, and left for being old.
     taken: u64,
     untaken: u64,
@@ -107,7 +107,8 @@
             conn: None,
             state: State::Down { retry: now },
             leads: Vec::new(),
-            failures: 0,
+            // Each draws pauses of its own.
+            backoff: Backoff::new(PAUSES.0, PAUSES.1, seed ^ deal::hash(&address.to_string())),
         };
         let forwarder = ForwarderId(deal::hash(name));
         Planners {
@@ -129,7 +130,6 @@
             reports: 0,
             next_change: now,
             modes: vec![Mode::Safe; partitions],
-            random: seed,
             taken: 0,
             untaken: 0,
         }
@@ -295,7 +295,7 @@
         link.state = State::Up { heard: now };
         match message {
             FromPlanner::Welcome { partitions } if usize::from(partitions) == self.partitions.len() => {
-                link.failures = 0;
+                link.backoff.reset();
                 tracing::info!(planner = %link.address, "planner found");
             }
             FromPlanner::Welcome { partitions } => {
@@ -328,16 +328,12 @@
     }
 
     fn lose(&mut self, now: Instant, at: usize, why: &str) {
-        self.random =
-            self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        let drawn = (self.random >> 40) as f64 / f64::from(1 << 24);
         let link = &mut self.links[at];
         if matches!(link.state, State::Up { .. }) {
             tracing::warn!(planner = %link.address, "planner lost: {why}");
         }
         // Guards a planner that comes back from a thousand forwarders at once.
-        let pause = (PAUSES.0 * (1 << link.failures.min(5))).min(PAUSES.1).mul_f64(1.0 + drawn);
-        link.failures = link.failures.saturating_add(1);
+        let pause = link.backoff.pause();
         link.conn = None;
         link.leads.clear();
         link.state = State::Down { retry: now + pause };
--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -13,7 +13,7 @@
 /// Longer than anything here takes on a loaded machine.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
-const SETTINGS: &str = r#"{"siblings":1,"tick_ms":2.0,"discovery":"pushed","zones":["z"],
+const SETTINGS: &str = r#"{"siblings":HOSTS,"tick_ms":2.0,"discovery":"pushed","zones":["z"],
  "classes":[
   {"name":"read","aim_ms":400,"hard_limit_ms":DEADLINE,"worth":2,"late_worth":0.2,"effect":"read_like"},
   {"name":"write","aim_ms":600,"hard_limit_ms":DEADLINE,"worth":3,"effect":"idempotency_key",
@@ -40,6 +40,10 @@
     pub iscsi: String,
     /// The file of its addresses that move.
     pub vrrp: String,
+    /// How many initiators there are, if more than one.
+    pub hosts: u32,
+    /// The node list it knows at the start, as discovery words it.
+    pub known: String,
     /// Remote planners, by address.
     pub planners: Vec<SocketAddr>,
 }
@@ -90,14 +94,23 @@
 
 impl Program {
     pub fn start(discovery: &Discovery, setup: Setup) -> Program {
+        let program = Program::spawn(discovery, setup);
+        discovery.wait_for_watch();
+        program
+    }
+
+    /// Does not wait until it has the list.
+    pub fn spawn(discovery: &Discovery, setup: Setup) -> Program {
         let deadline = if setup.deadline_ms == 0 { 5000 } else { setup.deadline_ms };
         let settings = SETTINGS.replace("DEADLINE", &deadline.to_string());
         let settings = settings.replace("LIMIT", &setup.limit.to_string());
+        let settings = settings.replace("HOSTS", &setup.hosts.max(1).to_string());
+        let known = if setup.known.is_empty() { "null" } else { &setup.known };
         let listen = setup.listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
         let name = if setup.name.is_empty() { "n1" } else { &setup.name };
         let config = format!(
             r#"{{"name":"{name}","listen":"{listen}","discovery":"DISCOVERY","seed":"8c1f30d27a5be964",
-             "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":null,"settings":{settings}}}"#
+             "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{known},"settings":{settings}}}"#
         );
         let text = config.replace("DISCOVERY", &discovery.address.to_string());
         let (mut command, files) = command(&text, &setup.iscsi);
@@ -120,15 +133,7 @@
             let text = line.split_once(&format!("{name}=Some("))?.1.split(')').next()?;
             text.parse().ok()
         };
-        let program = Program {
-            child,
-            resp: address("resp").expect("its address"),
-            iscsi: address("iscsi"),
-            files,
-            config,
-        };
-        discovery.wait_for_watch();
-        program
+        Program { child, resp: address("resp").expect("its address"), iscsi: address("iscsi"), files, config }
     }
 
     /// Sends it a signal by name.
@@ -227,6 +232,8 @@
     watched: Option<u64>,
     /// Connections that are to get no answer.
     silent: u32,
+    /// Calls that are to be turned away.
+    overbooked: u32,
     /// How often the whole list was asked for.
     fetched: u32,
 }
@@ -266,7 +273,19 @@
                 }
                 let after: Option<u64> =
                     head.split_once("after=").and_then(|(_, rest)| rest.split('&').next()?.parse().ok());
-                shared.lock().unwrap().fetched += u32::from(after.is_none());
+                let turned_away = {
+                    let mut state = shared.lock().unwrap();
+                    state.fetched += u32::from(after.is_none());
+                    let before = state.overbooked;
+                    state.overbooked = before.saturating_sub(1);
+                    before > 0
+                };
+                if turned_away {
+                    if write!(stream, "HTTP/1.1 503 Overbooked\r\nContent-Length: 0\r\n\r\n").is_err() {
+                        return;
+                    }
+                    continue;
+                }
                 let body = loop {
                     let mut state = shared.lock().unwrap();
                     state.watched = state.watched.max(after);
@@ -287,6 +306,11 @@
         discovery
     }
 
+    /// The next calls are turned away.
+    pub fn overbook(&self, calls: u32) {
+        self.state.lock().unwrap().overbooked = calls;
+    }
+
     /// Tells lines: the whole list or changes.
     pub fn tell(&self, snapshot: bool, lines: &[String]) {
         let mut state = self.state.lock().unwrap();
--- a/tests/net/resp.rs
+++ b/tests/net/resp.rs
@@ -220,6 +220,24 @@
     assert_eq!(client.receive(), bulk(b"0000000000000001"));
 }
 
+#[test]
+fn an_overbooked_discovery_is_asked_at_growing_pauses_while_the_known_list_serves() {
+    let node = Node::echo();
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    discovery.overbook(4);
+    let listed = line("s-1", node.address, 3, "active");
+    let known = format!(r#"{{"index":0,"snapshot":true,"endpoints":[{listed}]}}"#);
+    let start = Instant::now();
+    let program = Program::spawn(&discovery, Setup { hosts: 20, known, ..Setup::default() });
+    let mut client = Client::connect(program.resp);
+    client.ask(1, 3, "", None);
+    assert_eq!(client.receive(), bulk(b"0000000000000001"));
+    discovery.wait_for_watch();
+    // 0.2, 0.4, 0.8 and 1.6 s, each drawn down to half at most.
+    assert!(start.elapsed() >= Duration::from_millis(1500), "{:?} for four calls", start.elapsed());
+    assert_eq!(discovery.fetched(), 0, "what came after the known list is asked for, never all of it");
+}
+
 #[test]
 fn what_was_not_sent_goes_elsewhere_even_if_it_may_not_run_twice() {
     // Nobody listens at the first node's address: its port was let go of.
