Hosts may use three quarters of what the cold rule bears

Volumes move between hosts every 6 to 23 s, so that a host with rate left has no demand and the other way round: about half of the rates goes unused.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,8 +42,9 @@
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
 /// What a request with the key sent last is taken to cost, against another: half, as the saving is unknown.
 const REPEAT_COST: f64 = 0.5;
-/// Part of the cold rule's multiple for hosts: rates, each at least their mean, sum to twice a node's.
-const COLD_MARGIN: f64 = 0.5;
+/// Part of the cold rule's multiple for hosts: their rates, each at least their mean, sum to twice what a
+/// node served at most, and as volumes move between hosts half of that is not used.
+const COLD_MARGIN: f64 = 0.75;
 /// Largest debt at a cold node, in mean requests. Half of it is what is left of a request in the mean, so
 /// that many hosts begin as they go on.
 const DEBT: f64 = 2.0;
