What the cold rule leaves for chance shrinks with the root of the number of hosts

Three times what it can do is the rule. Ruled out: queues, full or refusing nodes, the levels (a node's own level moved an eighth at most: no change).

At fault: COLD_MARGIN, one figure for 3 hosts and 100. Of 3 every one has work at every node; of 100 some 30 have, and what those leave for chance weighs less.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,9 +42,9 @@
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
 /// What a request with the key sent last is taken to cost, against another: half, as the saving is unknown.
 const REPEAT_COST: f64 = 0.5;
-/// Part of the cold rule's multiple for hosts: their rates, each at least their mean, sum to twice what a
-/// node served at most, and as volumes move between hosts half of that is not used.
-const COLD_MARGIN: f64 = 0.75;
+/// Least part of the cold rule's multiple for hosts: rates, each at least their mean, sum to twice a node's.
+/// Of many hosts few have work there at a time, and chance weighs less: see `cold_rate`.
+const COLD_MARGIN: f64 = 0.5;
 /// Largest debt at a cold node, in mean requests. Half of it is what is left of a request in the mean, so
 /// that many hosts begin as they go on.
 const DEBT: f64 = 2.0;
@@ -838,7 +838,8 @@
         let own = self.powers.get(&node.entry.shard).map_or(0.0, |power| power.rate);
         let warmth = rules.cold_share + (1.0 - rules.cold_share) * age.div_duration_f64(rules.cold);
         let capacity = own.max(mean) * warmth;
-        (COLD_MARGIN * rules.fall_multiple * capacity).max(always / rules.fall.as_secs_f64().max(0.001))
+        let margin = (1.0 - even.sqrt()).max(COLD_MARGIN);
+        (margin * rules.fall_multiple * capacity).max(always / rules.fall.as_secs_f64().max(0.001))
     }
 }
 
