A host's first depth at a node follows the number of hosts

Each host began at each node with a depth of 4, so that one run of a dozen requests from a program opened four connections and put four into the queue; about 30 hosts a shard did so at once, and again at each replacement and each restart. Ruled out: idle closing (none seen), refused connections.

At fault: Node::new, depth NODE_DEPTH / 2 whatever the number of hosts. Now hosts together begin with what five begin with, but one each; growth is as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -18,6 +18,8 @@
 const BISECTIONS: usize = 40;
 /// Upper bound of a host's requests out at one node (the design's default of the host cap per node).
 const NODE_DEPTH: f64 = 8.0;
+/// Hosts that may each begin with half of that.
+const HANDFUL: f64 = 5.0;
 /// Part of the tightest aim that may pass inside a node; the rest is for waiting here, in a chosen order.
 const NODE_TIME_SHARE: f64 = 1.0 / 6.0;
 /// Weight of one outcome in a node's smoothed figures: an eighth, as TCP smooths round trips.
@@ -45,8 +47,7 @@
 /// Least part of the cold rule's multiple for hosts: rates, each at least their mean, sum to twice a node's.
 /// Of many hosts few have work there at a time, and chance weighs less: see `cold_rate`.
 const COLD_MARGIN: f64 = 0.5;
-/// Largest debt at a cold node, in mean requests. Half of it is what is left of a request in the mean, so
-/// that many hosts begin as they go on.
+/// Largest debt at a cold node, in mean requests: in the mean it is what is left of one at any time.
 const DEBT: f64 = 2.0;
 /// Part of a drain's grace in which a draining node is still used; the rest is for connecting.
 const DRAIN_PART: f64 = 0.85;
@@ -255,8 +256,7 @@
         }
         for entry in entries {
             let debt = DEBT * self.settings.units.mean * self.next_random();
-            let classes = self.settings.classes.len();
-            let unheard = || Node::new(NodeEntry { started: None, ..entry.clone() }, classes);
+            let unheard = || Node::new(NodeEntry { started: None, ..entry.clone() }, &self.settings);
             let node = self.nodes.entry(entry.node).or_insert_with(unheard);
             if entry.started > node.entry.started {
                 (node.latency, node.failures, node.blocked_until) = (None, 0, Duration::ZERO);
@@ -933,9 +933,11 @@
 }
 
 impl Node {
-    fn new(entry: NodeEntry, classes: usize) -> Self {
-        let (bounds, demand) = (vec![1; classes], vec![0.0; classes]);
-        Node { entry, depth: NODE_DEPTH / 2.0, bounds, demand, ..Node::default() }
+    /// Hosts together begin with as many requests out at a node as a handful of them do, but one each.
+    fn new(entry: NodeEntry, settings: &Settings) -> Self {
+        let (bounds, demand) = (vec![1; settings.classes.len()], vec![0.0; settings.classes.len()]);
+        let depth = NODE_DEPTH / 2.0 * (HANDFUL / f64::from(settings.hosts.max(1))).min(1.0);
+        Node { entry, depth: depth.max(1.0), bounds, demand, ..Node::default() }
     }
 
     fn is_ready(&self) -> bool {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -135,6 +135,22 @@
     assert!((30..=86).contains(&sent), "{sent} of 100 requests");
 }
 
+#[test]
+fn a_hundred_hosts_that_start_together_do_not_overrun_a_node() {
+    // Programs send a dozen requests in a row, and each attempt out takes a connection and a place in the queue.
+    let out = |hosts: u32| {
+        let settings = Settings { hosts, ..safe() };
+        let sent = (0..hosts).map(|seed| {
+            let mut host = Host::seeded(settings.clone(), &[node(1, 0)], u64::from(seed));
+            (0..12).for_each(|_| drop(host.request(0, 0, 0)));
+            host.sent().len()
+        });
+        sent.sum::<usize>()
+    };
+    assert_eq!((out(1), out(3), out(5)), (4, 12, 20));
+    assert_eq!(out(100), 100, "one each, as it can't be less");
+}
+
 #[test]
 fn a_key_stuck_behind_a_silent_node_holds_no_slots() {
     let ordered = Class { in_order: true, ..class(Effect::Safe) };
