--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -132,7 +132,7 @@
     host.list(ListKind::Delta, &[entry(old), entry(new)]);
     let sent = serve(&mut host, 100);
     // It warms from 0.2 to 1 in these ten seconds; of twice that, which the rule bears, a tenth is left for chance.
-    assert!((30..=86).contains(&sent), "{sent} of 100 requests");
+    assert!((70..=86).contains(&sent), "{sent} of 100 requests");
 }
 
 #[test]
