One generator of drawn numbers; a test for lists numbered anew at the start

Cause: on reading the change once more the same generator stood in rules.rs and backoff.rs; a guard of the list calls (changes numbered below the known list are passed over) had no test; two comments of the decision module pointed at nothing; the module text of discovery told the old way of starting.

--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -1,6 +1,7 @@
 //! Pauses before trying again: they double from the first to the longest, each drawn between its half and half as much
 //! again. Guards whoever is asked against all askers of a fleet at once, which fail, start and come back together.
 
+use crate::random::Random;
 use std::time::Duration;
 
 /// Beyond so many failures the pause grows no longer, whatever its bounds are.
@@ -10,12 +11,12 @@
     first: Duration,
     longest: Duration,
     failures: u32,
-    random: u64,
+    random: Random,
 }
 
 impl Backoff {
     pub fn new(first: Duration, longest: Duration, seed: u64) -> Self {
-        Backoff { first, longest, failures: 0, random: seed }
+        Backoff { first, longest, failures: 0, random: Random::new(seed) }
     }
 
     /// It went well: the next pause is the first again.
@@ -30,10 +31,9 @@
         doubled.min(self.longest).mul_f64(0.5 + self.draw())
     }
 
-    /// A number between 0 and 1.
+    /// A part of a span, for what is to be spread over it.
     pub fn draw(&mut self) -> f64 {
-        self.random = self.random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        (self.random >> 11) as f64 / (1u64 << 53) as f64
+        self.random.draw()
     }
 }
 
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -1,4 +1,5 @@
-//! Keeps the node list: asks discovery for the whole list, then watches its changes, over HTTP/1.1.
+//! Keeps the node list: asks discovery for what came after the list known at the start, or for the whole list, then
+//! watches its changes, over HTTP/1.1.
 
 use crate::backoff::Backoff;
 use crate::conn::{Conn, Connecting, ReadEnd};
@@ -457,6 +458,17 @@
         }
     }
 
+    #[test]
+    fn changes_before_the_known_list_are_passed_over_and_a_whole_list_counts_anew() {
+        let (address, now) = (SocketAddr::from(([127, 0, 0, 1], 1)), Instant::now());
+        let message = |index, snapshot| ListMessage { index, snapshot, endpoints: Vec::new() };
+        let discovery = || Discovery::new(address, Token(9), now, Some(41), (1, 7));
+        assert!(!discovery().is_older(now, &message(42, false)));
+        // A registry that counts anew: what its changes go on from is not the known list.
+        assert!(discovery().is_older(now, &message(3, false)));
+        assert!(!discovery().is_older(now, &message(3, true)));
+    }
+
     #[test]
     fn answers_that_are_no_list_are_errors() {
         for bad in ["HTTP/1.1 200 OK\r\n\r\n", "nonsense\r\n\r\n"] {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod planner;
 pub mod process;
 mod quantity;
+mod random;
 pub mod resp;
 mod rules;
 mod service;
--- /dev/null
+++ b/src/random.rs
@@ -0,0 +1,17 @@
+//! Drawn numbers: a linear congruential generator, the same on all machines. It spreads what hosts would do together, and
+//! keeps no secrets.
+
+#[derive(Default)]
+pub(crate) struct Random(u64);
+
+impl Random {
+    pub fn new(seed: u64) -> Self {
+        Random(seed)
+    }
+
+    /// A number from 0 up to 1.
+    pub fn draw(&mut self) -> f64 {
+        self.0 = self.0.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (self.0 >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,6 +5,7 @@
 
 use crate::interface::*;
 use crate::quantity::{Fading, Store};
+use crate::random::Random;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 const BISECTIONS: usize = 40;
 /// Upper bound of a host's requests out at one node (the design's default of the host cap per node).
 const NODE_DEPTH: f64 = 8.0;
-/// Hosts that may each begin with half of that.
+/// Hosts that may each begin with half of that bound; more hosts share what so many begin with.
 const HANDFUL: f64 = 5.0;
 /// Part of the tightest aim that may pass inside a node; the rest is for waiting here, in a chosen order.
 const NODE_TIME_SHARE: f64 = 1.0 / 6.0;
@@ -45,7 +46,6 @@
 /// What a request with the key sent last is taken to cost, against another: half, as the saving is unknown.
 const REPEAT_COST: f64 = 0.5;
 /// Least part of the cold rule's multiple for hosts: rates, each at least their mean, sum to twice a node's.
-/// Of many hosts few have work there at a time, and chance weighs less: see `cold_rate`.
 const COLD_MARGIN: f64 = 0.5;
 /// Largest debt at a cold node, in mean requests: in the mean it is what is left of one at any time.
 const DEBT: f64 = 2.0;
@@ -163,10 +163,11 @@
 pub struct Scheduler {
     settings: Settings,
     now: Duration,
-    random: u64,
+    random: Random,
     classes: Vec<ClassControl>,
     nodes: BTreeMap<NodeId, Node>,
     requests: BTreeMap<RequestId, Request>,
+    /// By shard.
     powers: BTreeMap<u32, Power>,
     /// Held requests by shard; those of new objects under none.
     held: BTreeMap<Option<u32>, Vec<RequestId>>,
@@ -198,7 +199,7 @@
         let even = 1.0 / settings.classes.len().max(1) as f64;
         let class = |_: &Class| ClassControl { bound: even, ask: even, ..ClassControl::default() };
         Scheduler {
-            random: seed,
+            random: Random::new(seed),
             classes: settings.classes.iter().map(class).collect(),
             level: top_level(&settings),
             look: tightest_aim(&settings).div_f64(LOOKS_PER_AIM).max(settings.tick),
@@ -243,7 +244,7 @@
             // The old list stands; asking again at once would only add to a list service in trouble.
             self.list_failures += 1;
             let pause = (LIST_PAUSES.0 * f64::from(1 << self.list_failures.min(8))).min(LIST_PAUSES.1);
-            let at = self.now + INTERVAL.mul_f64(pause * (0.5 + self.next_random()));
+            let at = self.now + INTERVAL.mul_f64(pause * (0.5 + self.random.draw()));
             self.ask_list_at = self.settings.list_on_request.then_some(at);
             return;
         }
@@ -255,7 +256,7 @@
             }
         }
         for entry in entries {
-            let debt = DEBT * self.settings.units.mean * self.next_random();
+            let debt = DEBT * self.settings.units.mean * self.random.draw();
             let unheard = || Node::new(NodeEntry { started: None, ..entry.clone() }, &self.settings);
             let node = self.nodes.entry(entry.node).or_insert_with(unheard);
             if entry.started > node.entry.started {
@@ -305,7 +306,7 @@
         if class.in_order && new.key != 0 {
             self.keys.entry(new.key).or_default().waiting.push_back(new.id);
         }
-        let (place, plan) = (self.next_random(), self.settings.plans.get(new.plan));
+        let (place, plan) = (self.random.draw(), self.settings.plans.get(new.plan));
         let volume = || Volume::new(plan, new.volume_hosts, self.now, place);
         let volume = self.volumes.entry(new.volume).or_insert_with(volume);
         volume.asked.add(self.now, new.units, INTERVAL);
@@ -382,11 +383,6 @@
             self.leave_line(&request.new);
         }
     }
-
-    fn next_random(&mut self) -> f64 {
-        self.random = self.random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        (self.random >> 11) as f64 / (1u64 << 53) as f64
-    }
 }
 
 // ---------------------------------------------------------------- the three layers
@@ -838,6 +834,7 @@
         let own = self.powers.get(&node.entry.shard).map_or(0.0, |power| power.rate);
         let warmth = rules.cold_share + (1.0 - rules.cold_share) * age.div_duration_f64(rules.cold);
         let capacity = own.max(mean) * warmth;
+        // Of many hosts few have work at a node at a time, and the spread of their sum falls with their root.
         let margin = (1.0 - even.sqrt()).max(COLD_MARGIN);
         (margin * rules.fall_multiple * capacity).max(always / rules.fall.as_secs_f64().max(0.001))
     }
