Operators' door, targets taken out and back, drain and resume

Change: src/control (parser, door), src/membership (discovery's list less bans; taken out of the loop), src/service (one state for PING, fronts, signals, door; the addresses that move are a part of it now).

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -22,6 +22,8 @@
     pub planners: PathBuf,
     /// Addresses that move between machines.
     pub vrrp: PathBuf,
+    /// Where operators call, unless the configuration says so itself.
+    pub control: Option<String>,
 }
 
 /// Everything the initiator works with.
@@ -31,6 +33,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, where they may.
+    pub control: Option<SocketAddr>,
     /// Where discovery is asked.
     pub discovery: SocketAddr,
     /// Seed of its random numbers.
@@ -76,6 +80,8 @@
 struct File {
     name: String,
     listen: SocketAddr,
+    #[serde(default)]
+    control: Option<SocketAddr>,
     discovery: SocketAddr,
     seed: String,
     limits: FileLimits,
@@ -113,9 +119,13 @@
 impl Config {
     /// Reads a configuration file and those beside it; the error is one plain line.
     pub fn read(files: &Files) -> Result<Config, String> {
-        let Files { config: path, iscsi, planners, vrrp } = files;
+        let Files { config: path, iscsi, planners, vrrp, control } = files;
         let text = std::fs::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
         let mut config = Config::parse(&text).map_err(|why| format!("{}: {why}", path.display()))?;
+        if let (None, Some(control)) = (config.control, control) {
+            let address = control.parse().map_err(|_| format!("NODE_CONTROL: {control:?} is not ADDRESS:PORT"))?;
+            config.control = Some(address);
+        }
         config.iscsi = iscsi::Iscsi::read(iscsi, &mut config.settings, &mut config.wire)
             .map_err(|why| format!("{}: {why}", iscsi.display()))?;
         (config.planners, config.partitions) =
@@ -136,6 +146,7 @@
         let changes = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
+            ("control", self.control != new.control),
             ("limits", (self.sockets, self.memory) != (new.sockets, new.memory)),
             ("settings", self.settings != new.settings || self.wire != new.wire),
             ("the second front", self.iscsi != new.iscsi),
@@ -167,6 +178,7 @@
         Ok(Config {
             name: file.name,
             listen: file.listen,
+            control: file.control,
             discovery: file.discovery,
             seed,
             sockets: file.limits.sockets,
--- a/src/conn.rs
+++ b/src/conn.rs
@@ -102,6 +102,11 @@
         self.output.extend_from_slice(bytes);
     }
 
+    /// Tells the far side that nothing more follows what was written.
+    pub fn end_sending(&self) -> std::io::Result<()> {
+        self.stream.shutdown(std::net::Shutdown::Write)
+    }
+
     /// Bytes not handed to the kernel yet.
     pub fn unwritten(&self) -> usize {
         self.output.len() - self.written
--- /dev/null
+++ b/src/control/door.rs
@@ -0,0 +1,123 @@
+//! The operators' listener and its few connections, one call each.
+
+use super::{parse, reply, Call, LONGEST_LINE};
+use crate::conn::{Conn, ReadEnd};
+use mio::net::TcpListener;
+use mio::{Interest, Registry, Token};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Callers at a time. Beyond it the one that has come first makes room: it is the slowest.
+const MOST_CALLERS: usize = 16;
+/// Callers accepted in one turn of the loop.
+const MOST_ACCEPTED: usize = 64;
+/// A caller that has not said a whole call by then is told so.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// A caller that does not read its answer, or does not close, is closed after this.
+const LAST_WORDS: Duration = Duration::from_secs(1);
+/// Descriptors that the door may take up.
+pub const DESCRIPTORS: usize = MOST_CALLERS + 1;
+
+struct Caller {
+    conn: Conn,
+    since: Instant,
+    /// Since when it has its answer.
+    answered: Option<Instant>,
+}
+
+/// Where operators call.
+pub struct Door {
+    listener: TcpListener,
+    /// In the order they came: tokens only grow.
+    callers: BTreeMap<usize, Caller>,
+    knocked: bool,
+}
+
+impl Door {
+    /// Callers come in by this listener.
+    pub fn open(listener: TcpListener, token: Token, registry: &Registry) -> std::io::Result<Self> {
+        let mut door = Door { listener, callers: BTreeMap::new(), knocked: true };
+        registry.register(&mut door.listener, token, Interest::READABLE)?;
+        Ok(door)
+    }
+
+    /// Where it listens: the port may have been left to the system.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.local_addr().ok()
+    }
+
+    /// Callers wait.
+    pub fn knock(&mut self) {
+        self.knocked = true;
+    }
+
+    /// When [`Door::turn`] has something to do.
+    pub fn next_timer(&self) -> Option<Instant> {
+        let end = |caller: &Caller| {
+            caller.answered.map_or(caller.since + PATIENCE, |answered| answered + LAST_WORDS)
+        };
+        self.callers.values().map(end).min()
+    }
+
+    /// Its part of a turn of the loop: lets callers in and closes who is slow. What was called is returned; each is
+    /// owed one [`Door::reply`].
+    pub fn turn(
+        &mut self,
+        now: Instant,
+        registry: &Registry,
+        mut next: impl FnMut() -> Token,
+    ) -> Vec<(usize, Call)> {
+        let mut calls = Vec::new();
+        for _ in 0..if std::mem::take(&mut self.knocked) { MOST_ACCEPTED } else { 0 } {
+            let Ok((stream, _)) = self.listener.accept() else { break };
+            // Guards callers against those that hold connections and say nothing.
+            while self.callers.len() >= MOST_CALLERS {
+                self.callers.pop_first();
+            }
+            let token = next();
+            if let Ok(conn) = Conn::new(stream, token, registry) {
+                self.callers.insert(token.0, Caller { conn, since: now, answered: None });
+                // What it came with is read before the next one may send it away.
+                calls.extend(self.ready(now, token.0).map(|call| (token.0, call)));
+            }
+            self.knocked = true;
+        }
+        let slow: Vec<usize> = self.callers.iter().filter(|(_, it)| now - it.since >= PATIENCE).map(|(id, _)| *id).collect();
+        slow.into_iter().for_each(|id| self.reply(now, id, &Err("no whole line came".into())));
+        self.callers.retain(|_, it| it.answered.is_none_or(|answered| now - answered < LAST_WORDS));
+        calls
+    }
+
+    /// Something happened on a caller's connection; it may be a call.
+    pub fn ready(&mut self, now: Instant, id: usize) -> Option<Call> {
+        let caller = self.callers.get_mut(&id)?;
+        let end = caller.conn.read(LONGEST_LINE);
+        if caller.answered.is_some() {
+            // Guards the answer: what comes after the call would reset the connection if it was left unread.
+            caller.conn.consume(caller.conn.input.len());
+            if caller.conn.flush().is_err() || end == ReadEnd::Closed {
+                self.callers.remove(&id);
+            }
+            return None;
+        }
+        match parse(&caller.conn.input) {
+            Some(Ok(call)) => return Some(call),
+            Some(Err(why)) => self.reply(now, id, &Err(why)),
+            None if end == ReadEnd::Closed => self.reply(now, id, &Err("the call is cut off".into())),
+            None => {}
+        }
+        None
+    }
+
+    /// Answers a caller, who closes the connection then.
+    pub fn reply(&mut self, now: Instant, id: usize, outcome: &Result<String, String>) {
+        let Some(caller) = self.callers.get_mut(&id).filter(|caller| caller.answered.is_none()) else { return };
+        caller.answered = Some(now);
+        caller.conn.push(&reply(outcome));
+        caller.conn.consume(caller.conn.input.len());
+        if caller.conn.flush().is_err() || caller.conn.unwritten() == 0 && caller.conn.end_sending().is_err() {
+            self.callers.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,112 @@
+//! What operators say to a running initiator, one line a call, and what they are told: parser and replies. The sockets
+//! are in `door`, and what a call does is the loop's.
+
+pub mod door;
+
+/// A line is not longer, its end included.
+pub const LONGEST_LINE: usize = 256;
+
+/// One call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process takes clients.
+    Ready,
+    /// Nothing more to a target.
+    DisableServer(String),
+    /// A target may serve again.
+    EnableServer(String),
+    /// Take no more clients.
+    Drain,
+    /// Take clients again.
+    Resume,
+}
+
+/// Reads what has come so far: nothing while the line has no end.
+pub fn parse(input: &[u8]) -> Option<Result<Call, String>> {
+    let line = match input.iter().take(LONGEST_LINE).position(|byte| *byte == b'\n') {
+        Some(end) => &input[..end],
+        None if input.len() >= LONGEST_LINE => {
+            return Some(Err(format!("the line is longer than {LONGEST_LINE} bytes")));
+        }
+        None => return None,
+    };
+    Some(read(line.strip_suffix(b"\r").unwrap_or(line)))
+}
+
+fn read(line: &[u8]) -> Result<Call, String> {
+    let text = std::str::from_utf8(line).map_err(|_| "the line is not text")?;
+    if text.chars().any(char::is_control) {
+        return Err("the line holds control characters".into());
+    }
+    let mut words = text.split_whitespace();
+    let name = words.next().ok_or("the line is empty")?;
+    let mut id = || words.next().map(str::to_string).ok_or_else(|| format!("{name} needs the id of a target"));
+    let call = match name {
+        "ready" => Call::Ready,
+        "disable-server" => Call::DisableServer(id()?),
+        "enable-server" => Call::EnableServer(id()?),
+        "drain" => Call::Drain,
+        "resume" => Call::Resume,
+        _ => {
+            return Err("no such call: ready, disable-server ID, enable-server ID, drain, resume".into());
+        }
+    };
+    match words.next() {
+        Some(_) => Err(format!("{name} is followed by too many words")),
+        None => Ok(call),
+    }
+}
+
+/// The line that answers a call: done as asked, with what is so now, or not done, with the reason.
+pub fn reply(outcome: &Result<String, String>) -> Vec<u8> {
+    let (code, text) = match outcome {
+        Ok(text) => (200, text),
+        Err(why) => (400, why),
+    };
+    format!("{code} {text}\n").into_bytes()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_are_read_whole_and_only_as_they_are_worded() {
+        for (line, call) in [
+            ("ready\n", Call::Ready),
+            ("ready\r\n", Call::Ready),
+            (" disable-server  s-1 \n", Call::DisableServer("s-1".into())),
+            ("enable-server s-1\r\nrest", Call::EnableServer("s-1".into())),
+            ("drain\n", Call::Drain),
+            ("resume\n", Call::Resume),
+        ] {
+            let end = line.find('\n').unwrap();
+            assert!((0..=end).all(|cut| parse(&line.as_bytes()[..cut]).is_none()), "{line:?} cut short");
+            assert_eq!(parse(line.as_bytes()), Some(Ok(call)), "{line:?}");
+        }
+        let long = [&b"disable-server "[..], &[b'x'; LONGEST_LINE]].concat();
+        for bad in [
+            &b"\n"[..],
+            b"Ready\n",
+            b"ready now\n",
+            b"disable-server\n",
+            b"enable-server a b\n",
+            b"disable-server \xff\n",
+            b"drain\x00\n",
+            b"*1\r\n$4\r\nPING\r\n",
+            &long,
+        ] {
+            assert!(matches!(parse(bad), Some(Err(_))), "{bad:?}");
+        }
+    }
+
+    proptest::proptest! {
+        #[test]
+        fn any_bytes_end_in_an_answer_of_one_line(bytes: Vec<u8>) {
+            let padded = [&bytes[..], &[b'x'; LONGEST_LINE]].concat();
+            let answer = reply(&parse(&padded).unwrap().map(|call| format!("{call:?}")));
+            proptest::prop_assert!(answer.starts_with(b"200 ") || answer.starts_with(b"400 "));
+            proptest::prop_assert_eq!(answer.iter().filter(|byte| **byte == b'\n').count(), 1);
+        }
+    }
+}
--- a/src/core.rs
+++ b/src/core.rs
@@ -128,6 +128,7 @@
     pub answers_spoilt: u64,
     pub reloads: u64,
     pub reloads_failed: u64,
+    pub operator_calls: u64,
 }
 
 impl Counters {
@@ -155,6 +156,7 @@
             ("answers_spoilt", self.answers_spoilt),
             ("reloads", self.reloads),
             ("reloads_failed", self.reloads_failed),
+            ("operator_calls", self.operator_calls),
         ];
         rows.iter().map(|(name, count)| format!("{name}:{count}\r\n")).collect()
     }
--- a/src/forwarder.rs
+++ b/src/forwarder.rs
@@ -1,20 +1,23 @@
 //! The loop: gathers what is ready, hands it to the planner in one call, carries out what came back.
 
 use crate::clock::Clock;
-use crate::config::{self, Config, Files};
+use crate::config::{Config, Files};
 use crate::core::{Core, Effect, Ended};
-use crate::discovery::{Discovery, News, Status};
-use crate::front::{iscsi, resp, Front, Room};
-use crate::interface::{Event, ListKind, NodeEntry, NodeId, NodeState, Outcome};
+use crate::control::door::{self, Door};
+use crate::control::Call;
+use crate::discovery::{Discovery, News};
+use crate::front::{iscsi, listen, resp, Front, Room};
+use crate::interface::{Event, ListKind, Outcome};
+use crate::membership::Membership;
 use crate::planner::client::{self, Planners};
 use crate::planner::Planner;
 use crate::process::Signals;
-use crate::service::{Lent, Seen, Service};
-use crate::target::{Endpoint, Start, Targets, Wire};
+use crate::service::addresses::{Addresses, Lent, Seen};
+use crate::service::{Phase, State};
+use crate::target::{Start, Targets};
 use crate::tokens::{Kind, Tokens};
 use mio::net::UnixStream;
 use mio::{Events, Interest, Poll, Token};
-use std::collections::{BTreeMap, HashMap};
 use std::io::Read;
 use std::time::{Duration, Instant};
 
@@ -22,6 +25,7 @@
 const SIGNAL: Token = Token(1);
 const RELOAD: Token = Token(2);
 const ISCSI_LISTENER: Token = Token(3);
+const DOOR: Token = Token(4);
 /// Where advertisements come in, at most one interface for each family.
 const ADVERTISEMENTS: [Token; 2] = [Token(5), Token(6)];
 /// Sessions of the second front. Each may collect a window of writes, so many of them would fill the memory.
@@ -49,90 +53,10 @@
 /// Part of the descriptors that is for clients who are only told to come again.
 const CROWD_PART: f64 = 0.0625;
 
-/// A listed node.
-struct Known {
-    endpoint: Endpoint,
-    line: NodeEntry,
-    /// When it was told to drain.
-    drains: Option<Instant>,
-}
-
-/// Nodes as discovery and the second front's file name them.
-#[derive(Default)]
-struct Nodes {
-    ids: HashMap<String, NodeId>,
-    next_id: u32,
-    known: BTreeMap<NodeId, Known>,
-    /// Those that no list of discovery has.
-    own: Vec<NodeEntry>,
-    zones: Vec<String>,
-}
-
-impl Nodes {
-    fn id(&mut self, name: String) -> NodeId {
-        // A number is given once, also where a name comes again after it was forgotten.
-        *self.ids.entry(name).or_insert_with(|| {
-            self.next_id += 1;
-            NodeId(self.next_id)
-        })
-    }
-
-    /// Adds storage of the second front; it is there from the start to the end.
-    fn add_own(&mut self, storage: &config::iscsi::Storage) {
-        let node = self.id(format!("iscsi {}", storage.name));
-        let endpoint = Endpoint { address: storage.address, wire: Wire::Iscsi(storage.name.clone()) };
-        let entry = NodeEntry { node, shard: storage.shard, fixed: true, ..NodeEntry::default() };
-        self.known.insert(node, Known { endpoint, line: entry.clone(), drains: None });
-        self.own.push(entry);
-    }
-
-    /// Turns a message of discovery into one for the planner; tells which nodes are gone. A drain that may have been
-    /// told earlier (a first list, a watch begun anew) counts as gone: nobody knows how much of its grace is left.
-    fn take(&mut self, now: Instant, news: News, kind: ListKind) -> (Event, Vec<NodeId>) {
-        let News { message, fresh } = news;
-        let mut entries = Vec::new();
-        for line in message.endpoints {
-            let started = line.started();
-            let node = self.id(line.name);
-            let state = match line.status {
-                Status::Active => NodeState::Ready,
-                Status::Leaving if fresh || self.drains(node).is_some() => NodeState::Draining,
-                Status::Leaving => NodeState::Gone,
-                Status::Left => NodeState::Gone,
-            };
-            let zone = self.zones.iter().position(|zone| *zone == line.zone).unwrap_or(0) as u32;
-            let entry = NodeEntry { node, shard: line.group, zone, started, state, fixed: false };
-            let since = self.drains(node).unwrap_or(now);
-            let drains = (state == NodeState::Draining).then_some(since);
-            let endpoint = Endpoint { address: line.address, wire: Wire::Resp };
-            self.known.insert(node, Known { endpoint, line: entry.clone(), drains });
-            entries.push(entry);
-        }
-        if kind != ListKind::Delta {
-            entries.extend(self.own.iter().cloned());
-            // Whoever is not on a whole list is gone.
-            for (node, known) in &mut self.known {
-                if !entries.iter().any(|entry| entry.node == *node) {
-                    known.line.state = NodeState::Gone;
-                }
-            }
-        }
-        let gone = self.known.iter().filter(|(_, known)| known.line.state == NodeState::Gone);
-        let gone = gone.map(|(node, _)| *node).collect();
-        // Guards against a day on which nodes are replaced over and over: who is gone is not remembered.
-        self.known.retain(|_, known| known.line.state != NodeState::Gone);
-        self.ids.retain(|_, node| self.known.contains_key(node));
-        (Event::List { kind, entries }, gone)
-    }
-
-    fn drains(&self, node: NodeId) -> Option<Instant> {
-        self.known.get(&node).and_then(|known| known.drains)
-    }
-}
-
 /// One initiator.
 pub struct Forwarder {
     poll: Poll,
+    clock: Clock,
     core: Core,
     planner: Planner,
     /// Remote planners, where there are any.
@@ -141,15 +65,18 @@
     iscsi: Option<Front<iscsi::Target>>,
     targets: Targets,
     discovery: Discovery,
-    nodes: Nodes,
+    nodes: Membership,
     /// Addresses that move between machines.
-    service: Option<Service>,
+    addresses: Option<Addresses>,
+    /// Where operators call.
+    door: Option<Door>,
+    /// Whether it takes clients.
+    state: State,
     files: Files,
     /// What is in force, but for the list known at the start.
     config: Config,
     signal: UnixStream,
     reload: UnixStream,
-    stopping: Option<Instant>,
     tokens: Tokens,
 }
 
@@ -168,7 +95,9 @@
         let (signal, reload) = (register(signals.end, SIGNAL)?, register(signals.reload, RELOAD)?);
         let for_targets = (config.sockets as f64 * TARGETS_PART) as usize;
         let crowd = (config.sockets as f64 * CROWD_PART) as usize;
-        let more = OTHER_DESCRIPTORS + if config.iscsi.is_some() { MOST_ISCSI } else { 0 };
+        let more = OTHER_DESCRIPTORS
+            + if config.iscsi.is_some() { MOST_ISCSI } else { 0 }
+            + if config.control.is_some() { door::DESCRIPTORS } else { 0 };
         // What is left for clients is little where the limit is low, but never nothing.
         let clients = config.sockets.saturating_sub(for_targets + crowd + more).max(MOST_ISCSI / 4);
         let easy = (config.sockets as f64 * EASY_PART) as usize;
@@ -181,21 +110,26 @@
             vrrp.share.divide(&mut config.settings);
         }
         let (wire, settings) = (config.wire.clone(), config.settings.clone());
-        let mut nodes = Nodes { zones: wire.zones.clone(), ..Nodes::default() };
+        let mut nodes = Membership::new(wire.zones.clone());
         let targets = Targets::new(wire.connect_timeout, wire.conn_idle, for_targets, now);
         let retry_after = settings.limits.max_retry_after;
         let iscsi = config.iscsi.clone().map(|offered| {
             offered.storage.iter().for_each(|storage| nodes.add_own(storage));
             let patience = settings.classes.iter().map(|class| class.deadline).collect();
             let room = Room { easy: MOST_ISCSI, clients: MOST_ISCSI, crowd: 0, ..room };
-            let listen = offered.listen;
+            let address = offered.listen;
             let target = iscsi::Target::new(offered, patience, retry_after, config.seed);
-            Front::listen(target, listen, ISCSI_LISTENER, poll.registry(), clock, room)
-                .map_err(|error| format!("{listen}: {error}"))
+            Front::listen(target, address, ISCSI_LISTENER, poll.registry(), clock, room)
+                .map_err(|error| format!("{address}: {error}"))
         });
         let resp = resp::Resp { wire, retry_after };
         let resp = Front::listen(resp, config.listen, LISTENER, poll.registry(), clock, room)
             .map_err(|error| format!("{}: {error}", config.listen))?;
+        let door = config.control.map(|address| {
+            let door = listen(address).and_then(|listener| Door::open(listener, DOOR, poll.registry()));
+            door.map_err(|error| format!("control {address}: {error}"))
+        });
+        let door = door.transpose()?;
         let mut tokens = Tokens::new();
         let planners = (!config.planners.is_empty()).then(|| {
             let (addresses, settings) = (&config.planners, settings.clone());
@@ -205,6 +139,7 @@
         let planner = Planner::new(settings, config.seed, clock);
         let mut forwarder = Forwarder {
             poll,
+            clock,
             core: Core::new(clock, retry_after),
             planner,
             planners,
@@ -219,16 +154,17 @@
                 (config.settings.hosts, config.seed),
             ),
             nodes,
-            service: None,
+            addresses: None,
+            door,
+            state: State::default(),
             files,
             config,
             signal,
             reload,
-            stopping: None,
             tokens,
         };
-        if !forwarder.nodes.own.is_empty() {
-            let entries = forwarder.nodes.own.clone();
+        if !forwarder.nodes.own().is_empty() {
+            let entries = forwarder.nodes.own().to_vec();
             forwarder.core.tell(Event::List { kind: ListKind::Delta, entries });
         }
         if let Some(known) = known {
@@ -237,12 +173,14 @@
         if let Some(vrrp) = forwarder.config.vrrp.clone() {
             let longest = forwarder.longest_deadline();
             let mut lent = forwarder.lend();
-            let service = Service::start(vrrp, longest, ADVERTISEMENTS, &mut lent, now)?;
-            forwarder.service = Some(service);
+            let addresses = Addresses::start(vrrp, longest, ADVERTISEMENTS, &mut lent, now)?;
+            forwarder.addresses = Some(addresses);
         }
         let iscsi = forwarder.iscsi.as_ref().and_then(Front::address);
         tracing::trace!(settings = ?forwarder.config.settings, "settings");
-        tracing::info!(name = forwarder.config.name, resp = ?forwarder.resp.address(), ?iscsi, "started");
+        let control = forwarder.door.as_ref().and_then(Door::address);
+        forwarder.state.start();
+        tracing::info!(name = forwarder.config.name, resp = ?forwarder.resp.address(), ?iscsi, ?control, "started");
         Ok(forwarder)
     }
 
@@ -260,11 +198,12 @@
             }
             let now = Instant::now();
             self.count();
-            if let Some(service) = &mut self.service {
+            if let Some(addresses) = &mut self.addresses {
                 // A process that was stopped, or waits for the processor, wakes late.
-                service.turned(now.saturating_duration_since(due));
+                addresses.turned(now.saturating_duration_since(due));
                 self.serve(now, &events);
             }
+            self.answer_operators(now, &events);
             for event in &events {
                 self.gather(now, event.token());
             }
@@ -279,12 +218,12 @@
                 }
             }
             self.plan(now);
-            if self.stopping.is_some_and(|since| self.shut_down(now, now - since)) {
+            if self.state.ending().is_some_and(|since| self.shut_down(now, now - since)) {
                 tracing::info!("ended\n{}", self.core.info());
                 return Ok(());
             }
-            if let Some(service) = &mut self.service {
-                service.turned(now.elapsed());
+            if let Some(addresses) = &mut self.addresses {
+                addresses.turned(now.elapsed());
             }
         }
     }
@@ -294,23 +233,22 @@
         let came = |token: &Token| events.iter().any(|event| event.token() == *token);
         let came: Vec<bool> = ADVERTISEMENTS.iter().map(came).collect();
         let discovery = self.discovery.heard();
-        let ready = |known: &&Known| known.line.state == NodeState::Ready;
-        let ready_nodes = self.nodes.known.values().filter(ready).count();
+        let ready_nodes = self.nodes.ready();
         let (crowded, memory) = (self.resp.is_crowded(), self.config.memory);
-        self.with_service(|service, lent| {
+        self.with_addresses(|addresses, lent| {
             for (interface, _) in came.iter().enumerate().filter(|(_, came)| **came) {
-                service.ready(interface);
+                addresses.ready(interface);
             }
-            service.turn(now, lent);
-            service.look(now, || Seen { discovery, ready_nodes, crowded, memory }, lent);
+            addresses.turn(now, lent);
+            addresses.look(now, || Seen { discovery, ready_nodes, crowded, memory }, lent);
         });
     }
 
     /// Lends the addresses that move what they need of the rest.
-    fn with_service(&mut self, act: impl FnOnce(&mut Service, &mut Lent)) {
-        if let Some(mut service) = self.service.take() {
-            act(&mut service, &mut self.lend());
-            self.service = Some(service);
+    fn with_addresses(&mut self, act: impl FnOnce(&mut Addresses, &mut Lent)) {
+        if let Some(mut addresses) = self.addresses.take() {
+            act(&mut addresses, &mut self.lend());
+            self.addresses = Some(addresses);
         }
     }
 
@@ -344,7 +282,7 @@
         let iscsi = self.iscsi.as_mut().is_none_or(|front| front.shut_down(now, &mut self.core));
         let resp = self.resp.shut_down(now, &mut self.core);
         self.plan(now);
-        let let_go = self.service.as_ref().is_none_or(Service::is_idle);
+        let let_go = self.addresses.as_ref().is_none_or(Addresses::is_idle);
         (iscsi && resp && let_go && self.core.open_requests() == 0) || asked >= longest + ENDED_AFTER
     }
 
@@ -353,14 +291,68 @@
         next = self.iscsi.as_ref().map_or(next, |front| next.min(front.next_timer(now)));
         next = self.discovery.next_timer().map_or(next, |at| next.min(at));
         next = self.core.next_timer().map_or(next, |at| next.min(at));
-        next = self.service.as_ref().map_or(next, |service| next.min(service.next_timer(now)));
+        next = self.addresses.as_ref().map_or(next, |addresses| next.min(addresses.next_timer(now)));
+        next = self.door.as_ref().and_then(Door::next_timer).map_or(next, |at| next.min(at));
         next = self.planners.as_ref().map_or(next, |planners| next.min(planners.next_timer()));
-        match self.stopping {
+        match self.state.ending() {
             Some(_) => next.min(now + SHUTDOWN_LOOK),
             None => next,
         }
     }
 
+    /// What operators ask for, before all other work of a turn: guards their answers against any load.
+    fn answer_operators(&mut self, now: Instant, events: &Events) {
+        let (Some(door), tokens) = (&mut self.door, &mut self.tokens) else { return };
+        let mut calls = Vec::new();
+        for Token(id) in events.iter().map(|event| event.token()) {
+            if Token(id) == DOOR {
+                door.knock();
+            } else if Kind::of(id) == Some(Kind::Operator) {
+                calls.extend(door.ready(now, id).map(|call| (id, call)));
+            }
+        }
+        calls.extend(door.turn(now, self.poll.registry(), || tokens.next(Kind::Operator)));
+        for (caller, call) in calls {
+            let outcome = self.obey(now, &call);
+            match &outcome {
+                Ok(text) => tracing::info!(?call, "{text}"),
+                Err(why) => tracing::warn!(?call, "not done: {why}"),
+            }
+            self.core.counters.operator_calls += 1;
+            self.door.iter_mut().for_each(|door| door.reply(now, caller, &outcome));
+        }
+    }
+
+    /// Carries out one call of an operator: what is so now, or why not.
+    fn obey(&mut self, now: Instant, call: &Call) -> Result<String, String> {
+        let unix = self.clock.unix(now);
+        match call {
+            Call::Ready if self.state.phase() == Phase::Serving => return Ok("ready".into()),
+            Call::Ready => return Err(format!("it takes no clients: {}", self.state.phase().name())),
+            Call::DisableServer(name) => {
+                let event = self.nodes.ban(now, unix, name)?;
+                event.into_iter().for_each(|event| self.core.tell(event));
+                return Ok(format!("{name} gets nothing more"));
+            }
+            Call::EnableServer(name) => {
+                let event = self.nodes.call_back(unix, name)?;
+                event.into_iter().for_each(|event| self.core.tell(event));
+                return Ok(format!("{name} may serve"));
+            }
+            Call::Drain => self.state.drain(now)?,
+            Call::Resume => self.state.resume()?,
+        }
+        self.stand();
+        Ok(self.state.phase().name().into())
+    }
+
+    /// Tells the fronts what the state of service means for clients.
+    fn stand(&mut self) {
+        let standing = self.state.standing();
+        self.resp.stand(standing);
+        self.iscsi.iter_mut().for_each(|front| front.stand(standing));
+    }
+
     fn gather(&mut self, now: Instant, token: Token) {
         match token {
             // Connections are accepted once all that is ready was looked at.
@@ -371,14 +363,14 @@
                 }
             }
             // Read before all else in a turn.
+            DOOR => {}
             token if ADVERTISEMENTS.contains(&token) => {}
             SIGNAL => {
                 if drained(&mut self.signal) {
                     tracing::info!("asked to end");
-                    self.with_service(|service, lent| service.end_soon(now, lent));
-                    self.stopping.get_or_insert(now);
-                    self.resp.end_soon();
-                    self.iscsi.iter_mut().for_each(Front::end_soon);
+                    self.with_addresses(|addresses, lent| addresses.end_soon(now, lent));
+                    self.state.end(now);
+                    self.stand();
                 }
             }
             RELOAD => {
@@ -396,6 +388,7 @@
                     }
                 }
                 (Some(Kind::IscsiDoor), Some(front)) => front.knock(now),
+                (Some(Kind::Operator), _) => {}
                 (Some(Kind::Discovery), _) => {
                     if let Some(news) = self.discovery.ready(now, token) {
                         let kind = news.message.kind();
@@ -423,7 +416,7 @@
             tracing::warn!("a change of {what} needs a restart");
         }
         if let Some(vrrp) = new.vrrp {
-            self.with_service(|service, lent| service.change(now, vrrp, lent));
+            self.with_addresses(|addresses, lent| addresses.change(now, vrrp, lent));
         }
         self.config.discovery = new.discovery;
         let token = self.tokens.next(Kind::Discovery);
@@ -447,9 +440,8 @@
         self.core.sizes.extend([
             ("clients", self.resp.len() + iscsi.0),
             ("client_bytes", self.resp.kept() + iscsi.1),
-            ("nodes", self.nodes.known.len()),
-            ("node_names", self.nodes.ids.len()),
         ]);
+        self.core.sizes.extend(self.nodes.sizes());
         self.core.sizes.extend(self.targets.sizes());
     }
 
@@ -492,13 +484,9 @@
             },
             Effect::Stop { attempt, outcome } => self.targets.stop(attempt, outcome),
             Effect::Start { attempt, node, content, give_up_at } => {
-                // Guards the rule on drains where the scheduler decided on news that are older than this.
                 let connect = self.config.wire.connect_timeout;
-                let until =
-                    |since: Instant| since + self.config.settings.rules.drain_grace.saturating_sub(connect);
-                let known = self.nodes.known.get(&node);
-                let open = known.filter(|known| known.drains.is_none_or(|since| now < until(since)));
-                let Some(Known { endpoint, .. }) = open else {
+                let grace = self.config.settings.rules.drain_grace.saturating_sub(connect);
+                let Some(endpoint) = self.nodes.open(now, node, grace) else {
                     return self.core.attempt_ended(now, attempt, Ended::bare(Outcome::NotConnected));
                 };
                 let start = Start { attempt, node, content, give_up_at };
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -8,6 +8,7 @@
 use crate::conn::{Conn, ReadEnd};
 use crate::core::{Answer, Content, Core, Origin};
 use crate::interface::{NewRequest, RequestId};
+use crate::service::Standing;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use std::collections::HashMap;
@@ -46,6 +47,8 @@
 /// accepted a moment ago may only not be read yet.
 const IDLE_BEFORE_ROOM: Duration = Duration::from_millis(250);
 const SILENT_BEFORE_ROOM: Duration = Duration::from_millis(50);
+/// While clients are sent away, one that never asked for anything is given this long to do so.
+const SILENT_BEFORE_SHED: Duration = Duration::from_millis(1000);
 /// The answer goes out this long before the client stops waiting. Guards against a busy machine on either side.
 const MARGIN: Duration = Duration::from_millis(10);
 
@@ -112,6 +115,8 @@
     /// Why nothing is taken now: bodies held are at their limit, the connection is one too many, or the address
     /// that it came by is another machine's.
     declines: Option<Declined>,
+    /// Whether this process takes clients, for those that ask.
+    pub yes: bool,
 }
 
 impl Intake<'_> {
@@ -159,7 +164,7 @@
 
 /// Listens at an address. Guards against a restart that comes while the process before still lets the last clients
 /// in: the address is free again soon.
-fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let start = Instant::now();
     loop {
         match TcpListener::bind(address) {
@@ -199,8 +204,8 @@
     clients: HashMap<usize, Client<P::Session>>,
     clock: Clock,
     room: Room,
-    /// Idle clients are kept: nobody can come again.
-    ending: bool,
+    /// What the state of service means for clients.
+    standing: Standing,
     /// When newcomers are to be looked for; none are known of otherwise.
     accept_at: Option<Instant>,
     /// Clients that have said more than was taken in this turn.
@@ -219,12 +224,13 @@
         clock: Clock,
         room: Room,
     ) -> std::io::Result<Self> {
-        let mut listener = bind(address)?;
+        let mut listener = listen(address)?;
         registry.register(&mut listener, token, Interest::READABLE)?;
         let (clients, backlog) = (HashMap::new(), Vec::new());
         let doors = vec![Door { listener: Some(listener), retired: false }];
-        let (ending, accept_at, next_sweep, kept) = (false, None, Instant::now(), 0);
-        Ok(Front { protocol, doors, clients, clock, room, ending, accept_at, backlog, next_sweep, kept })
+        let standing = Standing { yes: true, keeps_idle: false, shed_from: None };
+        let (accept_at, next_sweep, kept) = (None, Instant::now(), 0);
+        Ok(Front { protocol, doors, clients, clock, room, standing, accept_at, backlog, next_sweep, kept })
     }
 
     /// Where it listens at the machine's own address: the port may have been left to the system.
@@ -305,10 +311,15 @@
         self.accept_at.map_or(self.next_sweep, |at| at.min(self.next_sweep))
     }
 
-    /// The process is to end. Guards against closing what clients cannot open again: after SIGTERM new connections
-    /// come to another process, and those that stay open are still used.
-    pub fn end_soon(&mut self) {
-        self.ending = true;
+    /// The state of service has changed. After SIGTERM idle clients are kept, since new connections come to another
+    /// process, and those that stay open are still used.
+    pub fn stand(&mut self, standing: Standing) {
+        self.standing = standing;
+    }
+
+    /// Whether clients are sent away as they become idle.
+    fn sheds(&self, now: Instant) -> bool {
+        self.standing.shed_from.is_some_and(|from| from <= now)
     }
 
     /// Newcomers wait.
@@ -413,6 +424,7 @@
     /// connections that are opened and kept by the hundred.
     fn sweep(&mut self, now: Instant, core: &mut Core) {
         let (mut dropped, mut ended) = (Vec::new(), Vec::new());
+        let sheds = self.sheds(now);
         for (id, client) in &self.clients {
             let (protocol, session) = (&self.protocol, &client.session);
             let (idle, written) = (protocol.is_idle(session), client.conn.unwritten() == 0);
@@ -429,7 +441,9 @@
                 ended.push(*id);
             } else if idle
                 && written
-                && (away || (!self.ending && protocol.makes_room(session) && now - client.used > IDLE))
+                && (away
+                    || (sheds && client.since + SILENT_BEFORE_SHED < now)
+                    || (!self.standing.keeps_idle && protocol.makes_room(session) && now - client.used > IDLE))
             {
                 dropped.push(*id);
             }
@@ -437,7 +451,7 @@
         dropped.into_iter().for_each(|id| self.drop_client(id, core));
         // Guards against clients that each keep a connection and may hold only so many: the next request would find
         // none. Whoever is idle comes back on a new one.
-        while !self.ending && self.clients.len() > self.room.easy && self.close_an_idle_one(now) {}
+        while !self.standing.keeps_idle && self.clients.len() > self.room.easy && self.close_an_idle_one(now) {}
         for id in ended {
             self.end(now, id, core);
             self.write(now, id, core);
@@ -473,12 +487,16 @@
             (true, _) => Some(Declined::Elsewhere),
             (false, full) => full.then_some(Declined::Full),
         };
-        let mut intake = Intake { core, conn: id, now: self.clock.unix(now), declines };
+        let sheds = self.standing.shed_from.is_some_and(|from| from <= now);
+        let yes = self.standing.yes;
+        let mut intake = Intake { core, conn: id, now: self.clock.unix(now), declines, yes };
         // Guards against a client that says more than all others together.
         let mut left = MOST_TAKEN;
         while client.closing.is_none() {
             // Guards against a client that asks without reading: its answers stay bounded.
             client.paused = client.conn.flush().is_ok() && client.conn.unwritten() > MOST_UNREAD;
+            // Guards a drain against clients that always have something open: what follows goes to another process.
+            client.paused |= sheds && !self.protocol.is_idle(&client.session);
             if client.paused {
                 return;
             }
@@ -530,7 +548,8 @@
         self.protocol.answer(&mut client.session, origin.place, answer, &mut output);
         client.conn.push(&output);
         client.used = now;
-        if client.paused {
+        // Who is sent away is not asked for more.
+        if client.paused && self.standing.shed_from.is_none_or(|from| now < from) {
             self.take_input(now, origin.conn, core);
         }
         self.write(now, origin.conn, core);
@@ -550,8 +569,10 @@
         let kept = unwritten + client.conn.input.len();
         self.kept = self.kept + kept - std::mem::replace(&mut client.kept, kept);
         // Guards against a client that goes on asking where it is only sent away.
+        let shed = self.standing.shed_from.is_some_and(|from| from <= now);
+        let shed = shed && client.conn.input.is_empty() && self.protocol.has_asked(&client.session);
         let asks_on = client.sent_away.is_some_and(|since| now - since > SILENCE);
-        if (client.closing.is_some() || asks_on) && unwritten == 0 && self.protocol.is_idle(&client.session) {
+        if (client.closing.is_some() || asks_on || shed) && unwritten == 0 && self.protocol.is_idle(&client.session) {
             self.remove(id);
         }
     }
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -55,7 +55,8 @@
             Ok(None) if input.len() < MOST_INPUT => return Ok(0),
             Ok(None) => (None, None, Some(error("Protocol error: too long a command"))),
             Ok(Some((value, length))) => match read_command(value, &self.wire) {
-                Ok(Command::Ping) => (Some(length), None, Some(b"+PONG\r\n".to_vec())),
+                Ok(Command::Ping) if intake.yes => (Some(length), None, Some(b"+PONG\r\n".to_vec())),
+                Ok(Command::Ping) => (Some(length), None, Some(error("no clients are taken"))),
                 Ok(Command::Info(section)) => {
                     let mut text = Vec::new();
                     match intake.core.report(&section) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,7 +18,8 @@
         let iscsi = file("TOPAZPATH_ISCSI", "deploy/iscsi.toml");
         let planners = file("TOPAZPATH_PLANNERS", "deploy/planners.toml");
         let vrrp = file("TOPAZPATH_VRRP", "deploy/vrrp.toml");
-        let files = Files { config: PathBuf::from(path), iscsi, planners, vrrp };
+        let control = std::env::var("NODE_CONTROL").ok().filter(|place| !place.is_empty());
+        let files = Files { config: PathBuf::from(path), iscsi, planners, vrrp, control };
         Forwarder::new(files, process::signals()?)?.run().map_err(|error| error.to_string())
     })
 }
--- a/src/service.rs
+++ b/src/service/addresses.rs
@@ -58,7 +58,7 @@
 }
 
 /// All addresses that this machine serves in turn with others.
-pub struct Service {
+pub struct Addresses {
     settings: Settings,
     speaker: Speaker,
     handover: Handover,
@@ -71,7 +71,7 @@
     slowest: Duration,
 }
 
-impl Service {
+impl Addresses {
     /// Binds the interfaces and starts the routers; `finish` is the longest that an item may last.
     pub fn start(
         settings: Settings,
@@ -103,7 +103,7 @@
         let speaker = Speaker::start(&settings.interfaces, routers, rules, interfaces, lent.registry, now)?;
         let handover = Handover::new(places.len(), finish);
         let (next_look, slowest) = (now, Duration::ZERO);
-        Ok(Service { settings, speaker, handover, places, started: now, next_look, next_turn: None, slowest })
+        Ok(Addresses { settings, speaker, handover, places, started: now, next_look, next_turn: None, slowest })
     }
 
     /// Advertisements came on an interface, by position.
@@ -111,7 +111,7 @@
         self.speaker.ready(interface);
     }
 
-    /// When [`Service::turn`] or [`Service::look`] has something to do.
+    /// When [`Addresses::turn`] or [`Addresses::look`] has something to do.
     pub fn next_timer(&self, now: Instant) -> Instant {
         let next = self.speaker.next_timer(now).map_or(self.next_look, |at| at.min(self.next_look));
         self.next_turn.map_or(next, |at| at.min(next))
--- a/src/tokens.rs
+++ b/src/tokens.rs
@@ -5,7 +5,7 @@
 /// Tokens below are named one by one.
 const FIRST_FREE: usize = 16;
 /// The remainder of a token by this tells its kind.
-const KINDS: usize = 8;
+const KINDS: usize = 16;
 
 /// What a token names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,9 +24,11 @@
     IscsiDoor,
     /// A connection to a planner.
     Planner,
+    /// A caller at the operators' door.
+    Operator,
 }
 
-const ALL: [Kind; 7] = [
+const ALL: [Kind; 8] = [
     Kind::RespClient,
     Kind::IscsiClient,
     Kind::Target,
@@ -34,6 +36,7 @@
     Kind::RespDoor,
     Kind::IscsiDoor,
     Kind::Planner,
+    Kind::Operator,
 ];
 
 impl Kind {
