--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -123,7 +123,8 @@
         let text = std::fs::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
         let mut config = Config::parse(&text).map_err(|why| format!("{}: {why}", path.display()))?;
         if let (None, Some(control)) = (config.control, control) {
-            let address = control.parse().map_err(|_| format!("NODE_CONTROL: {control:?} is not ADDRESS:PORT"))?;
+            let address =
+                control.parse().map_err(|_| format!("NODE_CONTROL: {control:?} is not ADDRESS:PORT"))?;
             config.control = Some(address);
         }
         config.iscsi = iscsi::Iscsi::read(iscsi, &mut config.settings, &mut config.wire)
--- a/src/control/door.rs
+++ b/src/control/door.rs
@@ -83,7 +83,8 @@
             }
             self.knocked = true;
         }
-        let slow: Vec<usize> = self.callers.iter().filter(|(_, it)| now - it.since >= PATIENCE).map(|(id, _)| *id).collect();
+        let slow: Vec<usize> =
+            self.callers.iter().filter(|(_, it)| now - it.since >= PATIENCE).map(|(id, _)| *id).collect();
         slow.into_iter().for_each(|id| self.reply(now, id, &Err("no whole line came".into())));
         self.callers.retain(|_, it| it.answered.is_none_or(|answered| now - answered < LAST_WORDS));
         calls
@@ -112,11 +113,14 @@
 
     /// Answers a caller, who closes the connection then.
     pub fn reply(&mut self, now: Instant, id: usize, outcome: &Result<String, String>) {
-        let Some(caller) = self.callers.get_mut(&id).filter(|caller| caller.answered.is_none()) else { return };
+        let Some(caller) = self.callers.get_mut(&id).filter(|caller| caller.answered.is_none()) else {
+            return;
+        };
         caller.answered = Some(now);
         caller.conn.push(&reply(outcome));
         caller.conn.consume(caller.conn.input.len());
-        if caller.conn.flush().is_err() || caller.conn.unwritten() == 0 && caller.conn.end_sending().is_err() {
+        if caller.conn.flush().is_err() || caller.conn.unwritten() == 0 && caller.conn.end_sending().is_err()
+        {
             self.callers.remove(&id);
         }
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -40,7 +40,8 @@
     }
     let mut words = text.split_whitespace();
     let name = words.next().ok_or("the line is empty")?;
-    let mut id = || words.next().map(str::to_string).ok_or_else(|| format!("{name} needs the id of a target"));
+    let mut id =
+        || words.next().map(str::to_string).ok_or_else(|| format!("{name} needs the id of a target"));
     let call = match name {
         "ready" => Call::Ready,
         "disable-server" => Call::DisableServer(id()?),
--- a/src/forwarder.rs
+++ b/src/forwarder.rs
@@ -2,9 +2,9 @@
 
 use crate::clock::Clock;
 use crate::config::{Config, Files};
-use crate::core::{Core, Effect, Ended};
 use crate::control::door::{self, Door};
 use crate::control::Call;
+use crate::core::{Core, Effect, Ended};
 use crate::discovery::{Discovery, News};
 use crate::front::{iscsi, listen, resp, Front, Room};
 use crate::interface::{Event, ListKind, Outcome};
@@ -437,10 +437,9 @@
         let iscsi = self.iscsi.as_ref().map_or((0, 0), |front| (front.len(), front.kept()));
         self.core.counters.answers_spoilt = self.targets.spoilt;
         self.core.sizes.clear();
-        self.core.sizes.extend([
-            ("clients", self.resp.len() + iscsi.0),
-            ("client_bytes", self.resp.kept() + iscsi.1),
-        ]);
+        self.core
+            .sizes
+            .extend([("clients", self.resp.len() + iscsi.0), ("client_bytes", self.resp.kept() + iscsi.1)]);
         self.core.sizes.extend(self.nodes.sizes());
         self.core.sizes.extend(self.targets.sizes());
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -443,7 +443,9 @@
                 && written
                 && (away
                     || (sheds && client.since + SILENT_BEFORE_SHED < now)
-                    || (!self.standing.keeps_idle && protocol.makes_room(session) && now - client.used > IDLE))
+                    || (!self.standing.keeps_idle
+                        && protocol.makes_room(session)
+                        && now - client.used > IDLE))
             {
                 dropped.push(*id);
             }
@@ -451,7 +453,9 @@
         dropped.into_iter().for_each(|id| self.drop_client(id, core));
         // Guards against clients that each keep a connection and may hold only so many: the next request would find
         // none. Whoever is idle comes back on a new one.
-        while !self.standing.keeps_idle && self.clients.len() > self.room.easy && self.close_an_idle_one(now) {}
+        while !self.standing.keeps_idle && self.clients.len() > self.room.easy && self.close_an_idle_one(now)
+        {
+        }
         for id in ended {
             self.end(now, id, core);
             self.write(now, id, core);
@@ -572,7 +576,10 @@
         let shed = self.standing.shed_from.is_some_and(|from| from <= now);
         let shed = shed && client.conn.input.is_empty() && self.protocol.has_asked(&client.session);
         let asks_on = client.sent_away.is_some_and(|since| now - since > SILENCE);
-        if (client.closing.is_some() || asks_on || shed) && unwritten == 0 && self.protocol.is_idle(&client.session) {
+        if (client.closing.is_some() || asks_on || shed)
+            && unwritten == 0
+            && self.protocol.is_idle(&client.session)
+        {
             self.remove(id);
         }
     }
--- a/src/service/addresses.rs
+++ b/src/service/addresses.rs
@@ -103,7 +103,16 @@
         let speaker = Speaker::start(&settings.interfaces, routers, rules, interfaces, lent.registry, now)?;
         let handover = Handover::new(places.len(), finish);
         let (next_look, slowest) = (now, Duration::ZERO);
-        Ok(Addresses { settings, speaker, handover, places, started: now, next_look, next_turn: None, slowest })
+        Ok(Addresses {
+            settings,
+            speaker,
+            handover,
+            places,
+            started: now,
+            next_look,
+            next_turn: None,
+            slowest,
+        })
     }
 
     /// Advertisements came on an interface, by position.
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -115,7 +115,6 @@
     pub fn ending(&self) -> Option<Instant> {
         self.ending
     }
-
 }
 
 #[cfg(test)]
--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -46,6 +46,10 @@
     pub known: String,
     /// Remote planners, by address.
     pub planners: Vec<SocketAddr>,
+    /// It has a door for operators.
+    pub control: bool,
+    /// Its `$TMPDIR`, where two processes share one; else a folder of its own.
+    pub shared: Option<std::path::PathBuf>,
 }
 
 /// The running program.
@@ -53,6 +57,7 @@
     child: Child,
     pub resp: SocketAddr,
     pub iscsi: Option<SocketAddr>,
+    control: Option<SocketAddr>,
     files: std::path::PathBuf,
     /// Its configuration, less the address of discovery.
     config: String,
@@ -88,6 +93,7 @@
     command.env("NODE_CONFIG", files.join("config.json")).env("TOPAZPATH_ISCSI", files.join("iscsi.toml"));
     command.env("TOPAZPATH_PLANNERS", files.join("planners.toml"));
     command.env("TOPAZPATH_VRRP", files.join("vrrp.toml"));
+    command.env("TMPDIR", &files);
     command.env("TOPAZPATH_LOG", "info").stderr(Stdio::piped());
     (command, files)
 }
@@ -108,8 +114,9 @@
         let known = if setup.known.is_empty() { "null" } else { &setup.known };
         let listen = setup.listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
         let name = if setup.name.is_empty() { "n1" } else { &setup.name };
+        let control = if setup.control { "\"127.0.0.1:0\"" } else { "null" };
         let config = format!(
-            r#"{{"name":"{name}","listen":"{listen}","discovery":"DISCOVERY","seed":"8c1f30d27a5be964",
+            r#"{{"name":"{name}","listen":"{listen}","control":{control},"discovery":"DISCOVERY","seed":"8c1f30d27a5be964",
              "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{known},"settings":{settings}}}"#
         );
         let text = config.replace("DISCOVERY", &discovery.address.to_string());
@@ -121,6 +128,9 @@
         if !setup.vrrp.is_empty() {
             std::fs::write(files.join("vrrp.toml"), &setup.vrrp).unwrap();
         }
+        if let Some(shared) = &setup.shared {
+            command.env("TMPDIR", shared);
+        }
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
@@ -133,7 +143,18 @@
             let text = line.split_once(&format!("{name}=Some("))?.1.split(')').next()?;
             text.parse().ok()
         };
-        Program { child, resp: address("resp").expect("its address"), iscsi: address("iscsi"), files, config }
+        let resp = address("resp").expect("its address");
+        Program { child, resp, iscsi: address("iscsi"), control: address("control"), files, config }
+    }
+
+    /// Its door for operators.
+    pub fn door(&self) -> SocketAddr {
+        self.control.expect("a door")
+    }
+
+    /// What an operator is answered.
+    pub fn call(&self, line: &str) -> String {
+        ask(self.door(), format!("{line}\n").as_bytes())
     }
 
     /// Sends it a signal by name.
@@ -182,6 +203,16 @@
     }
 }
 
+/// Says something on a connection of its own, and returns all that is said back.
+pub fn ask(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(bytes).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
 /// Sends a signal to a process of this test's own.
 pub fn signal(child: &Child, name: &str) {
     Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status().unwrap();
--- a/tests/net/main.rs
+++ b/tests/net/main.rs
@@ -2,6 +2,7 @@
 
 mod helper;
 mod iscsi;
+mod operators;
 mod planner;
 mod resp;
 mod vrrp;
--- /dev/null
+++ b/tests/net/operators.rs
@@ -0,0 +1,124 @@
+//! The operators' door: targets out and back, drain and resume.
+
+use crate::helper::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use topazpath::resp::Value;
+
+fn with_door() -> Setup {
+    Setup { control: true, ..Setup::default() }
+}
+
+#[test]
+fn calls_are_answered_and_bad_ones_cost_nobody_anything() {
+    let node = Node::echo();
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, with_door());
+    assert!(program.call("ready").starts_with("200 "));
+    for bad in [
+        &b"fly\n"[..],
+        b"disable-server\n",
+        b"ready now\n",
+        b"disable-server s-9\n",
+        b"\xff\n",
+        &[b'x'; 9999],
+    ] {
+        let answer = ask(program.door(), bad);
+        assert!(answer.starts_with("400 ") && answer.ends_with('\n'), "{answer:?}");
+    }
+    // Cut off: what was not said whole is not done.
+    let mut cut = TcpStream::connect(program.door()).unwrap();
+    cut.write_all(b"drain").unwrap();
+    cut.shutdown(std::net::Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    cut.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("400 "), "{answer}");
+    // Callers who hold their connections and say nothing whole.
+    let held: Vec<TcpStream> = (0..100)
+        .map(|_| {
+            let mut stream = TcpStream::connect(program.door()).unwrap();
+            stream.write_all(b"disable-ser").unwrap();
+            stream
+        })
+        .collect();
+    let start = Instant::now();
+    assert!(program.call("ready").starts_with("200 "));
+    assert!(start.elapsed() < Duration::from_secs(1));
+    drop(held);
+    let mut client = Client::connect(program.resp);
+    client.ask(1, 3, "", None);
+    assert_eq!(client.receive(), Value::Bulk(Some(b"0000000000000001".to_vec())));
+}
+
+#[test]
+fn a_target_that_is_out_gets_nothing_whatever_discovery_says_until_it_is_called_back() {
+    let (one, two) = (Node::echo(), Node::echo());
+    let discovery = Discovery::start(&[("s-1", one.address, 3), ("s-2", two.address, 3)]);
+    let program = Program::start(&discovery, with_door());
+    let mut client = Client::connect(program.resp);
+    let mut piece = 0;
+    let mut ask = |count: u32| {
+        for _ in 0..count {
+            piece += 1;
+            client.ask(piece, 3, "", None);
+            assert_eq!(client.receive(), Value::Bulk(Some(format!("{piece:016x}").into_bytes())));
+        }
+    };
+    ask(20);
+    assert!(program.call("disable-server s-1").starts_with("200 "));
+    assert!(program.call("disable-server s-1").starts_with("200 "), "calls may repeat");
+    let before = one.count();
+    ask(20);
+    // It leaves, comes back, and the list is told anew.
+    discovery.tell(false, &[line("s-1", one.address, 3, "left")]);
+    discovery.wait_for_watch();
+    discovery.tell(true, &[line("s-1", one.address, 3, "active"), line("s-2", two.address, 3, "active")]);
+    discovery.wait_for_watch();
+    program.reload(&discovery.address.to_string());
+    program.wait_for_info("reloads:1");
+    ask(20);
+    assert_eq!(one.count(), before);
+    assert!(program.call("enable-server s-1").starts_with("200 "));
+    // With the other one out it is the only one that can serve.
+    assert!(program.call("disable-server s-2").starts_with("200 "));
+    ask(1);
+    assert_eq!(one.count(), before + 1);
+}
+
+#[test]
+fn a_drained_initiator_says_no_sends_its_clients_away_and_takes_them_again() {
+    let node = Node::echo();
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, with_door());
+    let (mut idle, mut busy) = (Client::connect(program.resp), Client::connect(program.resp));
+    idle.ask(1, 3, "", None);
+    idle.receive();
+    let ping = || {
+        let mut client = Client::connect(program.resp);
+        client.send(&[b"PING"]);
+        client.receive()
+    };
+    assert!(program.call("drain").starts_with("200 "));
+    let start = Instant::now();
+    assert!(matches!(ping(), Value::Error(_)));
+    assert!(program.call("ready").starts_with("400 "));
+    // Whoever goes on asking is answered until it is sent away between two requests.
+    let mut answered = 0;
+    loop {
+        busy.ask(2, 3, "", None);
+        match busy.try_receive() {
+            Some(answer) => assert_eq!(answer, Value::Bulk(Some(b"0000000000000002".to_vec()))),
+            None => break,
+        }
+        answered += 1;
+    }
+    assert!(answered > 0);
+    assert_eq!(idle.try_receive(), None);
+    assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
+    assert!(program.call("resume").starts_with("200 "));
+    assert_eq!(ping(), Value::Simple(b"PONG".to_vec()));
+    let mut client = Client::connect(program.resp);
+    client.ask(3, 3, "", None);
+    assert_eq!(client.receive(), Value::Bulk(Some(b"0000000000000003".to_vec())));
+}
