A second start takes over sockets, state and idle clients from the first

Cause: a second start found its address in use and exited with 1 after 2 s; the first one's clients had nobody after SIGTERM.

Holding memory and descriptors is told, so that both together keep the limits.

Measured by tests on the real process: two upgrades in a row under load from 8 clients, no request without its answer; an open request ends at the old process, its client and half a command go on at the new one; the old one goes on when the new one dies before or after it took over; bans hold both ways; peers that are dead, silent, garbled, of another schema.

--- a/src/conn.rs
+++ b/src/conn.rs
@@ -102,6 +102,12 @@
         self.output.extend_from_slice(bytes);
     }
 
+    /// Lets go of the connection, with what was read of it and not taken. It was all written.
+    pub fn into_parts(mut self, registry: &Registry) -> std::io::Result<(TcpStream, Vec<u8>)> {
+        registry.deregister(&mut self.stream)?;
+        Ok((self.stream, self.input))
+    }
+
     /// Tells the far side that nothing more follows what was written.
     pub fn end_sending(&self) -> std::io::Result<()> {
         self.stream.shutdown(std::net::Shutdown::Write)
--- a/src/control/door.rs
+++ b/src/control/door.rs
@@ -47,6 +47,23 @@
         self.listener.local_addr().ok()
     }
 
+    /// For another process.
+    pub fn listener(&self) -> &TcpListener {
+        &self.listener
+    }
+
+    /// Lets callers in, or leaves them to another process that has the same listener.
+    pub fn accept_callers(&mut self, yes: bool, token: Token, registry: &Registry) {
+        let changed = match yes {
+            true => registry.register(&mut self.listener, token, Interest::READABLE),
+            false => registry.deregister(&mut self.listener),
+        };
+        if let Err(error) = changed {
+            tracing::warn!("the door's listener: {error}");
+        }
+        self.knocked = yes;
+    }
+
     /// Callers wait.
     pub fn knock(&mut self) {
         self.knocked = true;
--- a/src/core.rs
+++ b/src/core.rs
@@ -129,6 +129,7 @@
     pub reloads: u64,
     pub reloads_failed: u64,
     pub operator_calls: u64,
+    pub clients_taken_over: u64,
 }
 
 impl Counters {
@@ -157,6 +158,7 @@
             ("reloads", self.reloads),
             ("reloads_failed", self.reloads_failed),
             ("operator_calls", self.operator_calls),
+            ("clients_taken_over", self.clients_taken_over),
         ];
         rows.iter().map(|(name, count)| format!("{name}:{count}\r\n")).collect()
     }
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -164,6 +164,11 @@
         }
     }
 
+    /// Version of the list held, told or known at the start.
+    pub fn version(&self) -> Option<u64> {
+        self.held.or(self.known)
+    }
+
     /// When it said something last that can be read.
     pub fn heard(&self) -> Option<Instant> {
         self.heard
--- a/src/forwarder.rs
+++ b/src/forwarder.rs
@@ -11,14 +11,17 @@
 use crate::membership::Membership;
 use crate::planner::client::{self, Planners};
 use crate::planner::Planner;
-use crate::process::Signals;
+use crate::process::{self, Signals};
 use crate::service::addresses::{Addresses, Lent, Seen};
 use crate::service::{Phase, State};
 use crate::target::{Start, Targets};
 use crate::tokens::{Kind, Tokens};
+use crate::upgrade::frame::{Carried, Place};
+use crate::upgrade::{self, Before, Heard, Upgrade};
 use mio::net::UnixStream;
 use mio::{Events, Interest, Poll, Token};
 use std::io::Read;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 const LISTENER: Token = Token(0);
@@ -26,6 +29,7 @@
 const RELOAD: Token = Token(2);
 const ISCSI_LISTENER: Token = Token(3);
 const DOOR: Token = Token(4);
+const UPGRADE: Token = Token(7);
 /// Where advertisements come in, at most one interface for each family.
 const ADVERTISEMENTS: [Token; 2] = [Token(5), Token(6)];
 /// Sessions of the second front. Each may collect a window of writes, so many of them would fill the memory.
@@ -70,8 +74,14 @@
     addresses: Option<Addresses>,
     /// Where operators call.
     door: Option<Door>,
+    /// The process that took over has the operators' listener.
+    door_given: bool,
     /// Whether it takes clients.
     state: State,
+    /// Other processes of this initiator, while one takes the place of another.
+    upgrade: Upgrade,
+    /// Descriptors and bytes of memory that the one before still holds.
+    held: (usize, usize),
     files: Files,
     /// What is in force, but for the list known at the start.
     config: Config,
@@ -85,6 +95,22 @@
     pub fn new(files: Files, signals: Signals) -> Result<Self, String> {
         let mut config = Config::read(&files)?;
         let known = config.known.take();
+        // Addresses that move and remote planners' shares belong to one process: no second one takes over beside them.
+        let alone = config.vrrp.is_some() || !config.planners.is_empty();
+        let place = if alone { None } else { upgrade::meeting_place(config.listen) };
+        let mut before = match place.as_deref().map(Before::find) {
+            Some(Ok(before)) => before,
+            Some(Err(why)) => {
+                tracing::warn!("a start as ever, though another process may be there: {why}");
+                None
+            }
+            None => None,
+        };
+        let mut listen = |at: Place, address: SocketAddr| {
+            // A port that the system chooses is another one each time.
+            let before = before.as_mut().filter(|_| address.port() != 0);
+            before.and_then(|before| before.listener(at)).map_or_else(|| listen(address), Ok)
+        };
         let poll = Poll::new().map_err(|error| format!("poll: {error}"))?;
         let (clock, now) = (Clock::start(), Instant::now());
         let register = |stream, token| {
@@ -93,15 +119,7 @@
             registered.map(|()| stream).map_err(|error| format!("signal pipe: {error}"))
         };
         let (signal, reload) = (register(signals.end, SIGNAL)?, register(signals.reload, RELOAD)?);
-        let for_targets = (config.sockets as f64 * TARGETS_PART) as usize;
-        let crowd = (config.sockets as f64 * CROWD_PART) as usize;
-        let more = OTHER_DESCRIPTORS
-            + if config.iscsi.is_some() { MOST_ISCSI } else { 0 }
-            + if config.control.is_some() { door::DESCRIPTORS } else { 0 };
-        // What is left for clients is little where the limit is low, but never nothing.
-        let clients = config.sockets.saturating_sub(for_targets + crowd + more).max(MOST_ISCSI / 4);
-        let easy = (config.sockets as f64 * EASY_PART) as usize;
-        let room = Room { easy, clients, crowd, bytes: config.memory / HELD_PART };
+        let (for_targets, room) = rooms(&config, (0, 0));
         if let Some(vrrp) = &config.vrrp {
             if let Some(plan) = vrrp.share.too_small(&config.settings) {
                 let why = "handover.burst_share leaves no room for the largest request of plan";
@@ -119,14 +137,19 @@
             let room = Room { easy: MOST_ISCSI, clients: MOST_ISCSI, crowd: 0, ..room };
             let address = offered.listen;
             let target = iscsi::Target::new(offered, patience, retry_after, config.seed);
-            Front::listen(target, address, ISCSI_LISTENER, poll.registry(), clock, room)
+            listen(Place::Iscsi(address), address)
+                .and_then(|listener| {
+                    Front::new(target, listener, ISCSI_LISTENER, poll.registry(), clock, room)
+                })
                 .map_err(|error| format!("{address}: {error}"))
         });
         let resp = resp::Resp { wire, retry_after };
-        let resp = Front::listen(resp, config.listen, LISTENER, poll.registry(), clock, room)
+        let resp = listen(Place::Resp(config.listen), config.listen)
+            .and_then(|listener| Front::new(resp, listener, LISTENER, poll.registry(), clock, room))
             .map_err(|error| format!("{}: {error}", config.listen))?;
         let door = config.control.map(|address| {
-            let door = listen(address).and_then(|listener| Door::open(listener, DOOR, poll.registry()));
+            let door = listen(Place::Control(address), address)
+                .and_then(|listener| Door::open(listener, DOOR, poll.registry()));
             door.map_err(|error| format!("control {address}: {error}"))
         });
         let door = door.transpose()?;
@@ -136,11 +159,32 @@
             let (partitions, name) = (config.partitions, config.name.as_str());
             Planners::new(addresses, partitions, name, settings, config.seed, (clock, now), &mut tokens)
         });
-        let planner = Planner::new(settings, config.seed, clock);
+        let mut planner = Planner::new(settings, config.seed, clock);
+        let mut core = Core::new(clock, retry_after);
+        let (mut state, mut version) = (State::default(), known.as_ref().map(|known| known.index));
+        let mut upgrade = Upgrade::new(place, UPGRADE, now);
+        let mut held = (0, 0);
+        let mut loaded = false;
+        if let Some(before) = before {
+            let carried = upgrade.take_over(before, poll.registry(), &mut tokens, now)?;
+            if let Some(carried) = carried {
+                let Carried { drained, nodes: listed, list, scheduler, holds } = *carried;
+                if drained {
+                    state.drain(now)?;
+                }
+                held = holds;
+                if let Some(list_event) = nodes.load(now, listed) {
+                    (version, loaded) = (list, true);
+                    let learned = scheduler.is_some_and(|scheduler| planner.take_over(scheduler));
+                    tracing::info!(learned, "taken over from the process before");
+                    core.tell(list_event);
+                }
+            }
+        }
         let mut forwarder = Forwarder {
             poll,
             clock,
-            core: Core::new(clock, retry_after),
+            core,
             planner,
             planners,
             resp,
@@ -150,13 +194,16 @@
                 config.discovery,
                 tokens.next(Kind::Discovery),
                 now,
-                known.as_ref().map(|known| known.index),
+                version,
                 (config.settings.hosts, config.seed),
             ),
             nodes,
             addresses: None,
             door,
-            state: State::default(),
+            door_given: false,
+            state,
+            upgrade,
+            held,
             files,
             config,
             signal,
@@ -167,7 +214,7 @@
             let entries = forwarder.nodes.own().to_vec();
             forwarder.core.tell(Event::List { kind: ListKind::Delta, entries });
         }
-        if let Some(known) = known {
+        if let Some(known) = known.filter(|_| !loaded) {
             forwarder.take_list(now, News { message: known, fresh: false }, ListKind::Cached);
         }
         if let Some(vrrp) = forwarder.config.vrrp.clone() {
@@ -180,6 +227,9 @@
         tracing::trace!(settings = ?forwarder.config.settings, "settings");
         let control = forwarder.door.as_ref().and_then(Door::address);
         forwarder.state.start();
+        forwarder.divide();
+        forwarder.stand();
+        forwarder.upgrade.listen(forwarder.poll.registry());
         tracing::info!(name = forwarder.config.name, resp = ?forwarder.resp.address(), ?iscsi, ?control, "started");
         Ok(forwarder)
     }
@@ -208,6 +258,7 @@
                 self.gather(now, event.token());
             }
             self.turn(now);
+            self.hand_over(now);
             self.core.fire(now);
             self.targets.tick(now);
             self.discovery.tick(now, self.poll.registry());
@@ -219,6 +270,7 @@
             }
             self.plan(now);
             if self.state.ending().is_some_and(|since| self.shut_down(now, now - since)) {
+                self.upgrade.end();
                 tracing::info!("ended\n{}", self.core.info());
                 return Ok(());
             }
@@ -271,7 +323,8 @@
     fn shut_down(&mut self, now: Instant, asked: Duration) -> bool {
         let longest = self.longest_deadline().min(LONGEST_COUNTED);
         let clients = self.resp.len() + self.iscsi.as_ref().map_or(0, Front::len);
-        if asked < LINGER || (asked < longest + SERVED_AFTER && clients > 0) {
+        // Whoever comes now comes to the process that took over.
+        if (asked < LINGER && !self.state.is_replaced()) || (asked < longest + SERVED_AFTER && clients > 0) {
             return false;
         }
         if asked >= longest + ANSWERED_AFTER {
@@ -292,6 +345,7 @@
         next = self.discovery.next_timer().map_or(next, |at| next.min(at));
         next = self.core.next_timer().map_or(next, |at| next.min(at));
         next = self.addresses.as_ref().map_or(next, |addresses| next.min(addresses.next_timer(now)));
+        next = self.upgrade.next_timer().map_or(next, |at| next.min(at));
         next = self.door.as_ref().and_then(Door::next_timer).map_or(next, |at| next.min(at));
         next = self.planners.as_ref().map_or(next, |planners| next.min(planners.next_timer()));
         match self.state.ending() {
@@ -330,13 +384,13 @@
             Call::Ready if self.state.phase() == Phase::Serving => return Ok("ready".into()),
             Call::Ready => return Err(format!("it takes no clients: {}", self.state.phase().name())),
             Call::DisableServer(name) => {
-                let event = self.nodes.ban(now, unix, name)?;
-                event.into_iter().for_each(|event| self.core.tell(event));
+                self.ban(now, unix, name, true)?;
+                self.upgrade.tell_ban(name, unix, true);
                 return Ok(format!("{name} gets nothing more"));
             }
             Call::EnableServer(name) => {
-                let event = self.nodes.call_back(unix, name)?;
-                event.into_iter().for_each(|event| self.core.tell(event));
+                self.ban(now, unix, name, false)?;
+                self.upgrade.tell_ban(name, unix, false);
                 return Ok(format!("{name} may serve"));
             }
             Call::Drain => self.state.drain(now)?,
@@ -346,6 +400,121 @@
         Ok(self.state.phase().name().into())
     }
 
+    /// Takes a target out, or back.
+    fn ban(&mut self, now: Instant, unix: Duration, name: &str, out: bool) -> Result<(), String> {
+        let event = if out { self.nodes.ban(now, unix, name) } else { self.nodes.call_back(unix, name) };
+        event?.into_iter().for_each(|event| self.core.tell(event));
+        Ok(())
+    }
+
+    /// The process that takes the place of this one gets what became idle; what others say is heard.
+    fn hand_over(&mut self, now: Instant) {
+        let (clients, targets) = (self.resp.len(), self.targets.len());
+        let heard =
+            self.upgrade.turn(now, self.poll.registry(), &mut self.tokens, || holds(clients, targets));
+        self.hear(now, heard);
+        if self.state.is_replaced() {
+            let upgrade = &mut self.upgrade;
+            self.resp.hand_over(self.poll.registry(), |client| match client {
+                None => upgrade.room_for_clients(),
+                Some((stream, input)) => {
+                    upgrade.give_client(stream, input);
+                    true
+                }
+            });
+        }
+    }
+
+    /// Carries out what other processes of this initiator say.
+    fn hear(&mut self, now: Instant, heard: Vec<Heard>) {
+        for heard in heard {
+            match heard {
+                Heard::Asked(peer) => self.give_listeners(peer),
+                Heard::Take { peer, door } => self.give_way(now, peer, door),
+                Heard::Client(stream, input) => {
+                    let token = self.tokens.next(Kind::RespClient);
+                    let (registry, core) = (self.poll.registry(), &mut self.core);
+                    core.counters.clients_taken_over += 1;
+                    self.resp.take_over(now, (stream, input), token, registry, core);
+                }
+                Heard::Ban { name, unix, out } => {
+                    if let Err(why) = self.ban(now, unix, &name, out) {
+                        tracing::warn!("{name}, as the other process was told: {why}");
+                    }
+                }
+                Heard::Holds(descriptors, bytes) => {
+                    self.held = (descriptors, bytes);
+                    self.divide();
+                }
+                Heard::OlderGone => {
+                    tracing::info!("the process before is gone");
+                    self.held = (0, 0);
+                    self.divide();
+                    self.planner.take_all(now);
+                }
+                Heard::NewerGone if self.state.ending().is_none() => {
+                    tracing::error!("the process that took over died: this one takes clients again");
+                    self.state.take_back();
+                    self.accept_newcomers(now, true);
+                    if let Some(own) = self.door.as_mut().filter(|_| std::mem::take(&mut self.door_given)) {
+                        own.accept_callers(true, DOOR, self.poll.registry());
+                    }
+                    self.planner.take_all(now);
+                    self.stand();
+                    self.upgrade.listen(self.poll.registry());
+                }
+                Heard::NewerGone => {}
+            }
+        }
+    }
+
+    fn give_listeners(&mut self, peer: usize) {
+        let resp = self.resp.listener().map(|listener| (Place::Resp(self.config.listen), listener));
+        let iscsi = self.config.iscsi.as_ref().zip(self.iscsi.as_ref().and_then(Front::listener));
+        let iscsi = iscsi.map(|(offered, listener)| (Place::Iscsi(offered.listen), listener));
+        let door = self.config.control.zip(self.door.as_ref());
+        let door = door.map(|(address, door)| (Place::Control(address), door.listener()));
+        self.upgrade.give_listeners(peer, [resp, iscsi, door].into_iter().flatten().collect());
+    }
+
+    /// Another process takes the place of this one.
+    fn give_way(&mut self, now: Instant, peer: usize, door: bool) {
+        let (planner, nodes, targets) = (&mut self.planner, &self.nodes, &mut self.targets);
+        let (drained, list, clients) = (self.state.is_drained(), self.discovery.version(), self.resp.len());
+        let given = self.upgrade.give_state(peer, || {
+            // The other one needs the descriptors.
+            targets.close_all_idle();
+            let holds = holds(clients, targets.len());
+            let scheduler = Some(planner.hand_over(now));
+            Carried { drained, nodes: nodes.carry(now), list, scheduler, holds }
+        });
+        if given {
+            tracing::info!("another process takes over");
+            self.accept_newcomers(now, false);
+            if let Some(own) = self.door.as_mut().filter(|_| door) {
+                own.accept_callers(false, DOOR, self.poll.registry());
+                self.door_given = true;
+            }
+            self.state.replace(now);
+            self.stand();
+        }
+    }
+
+    fn accept_newcomers(&mut self, now: Instant, yes: bool) {
+        let registry = self.poll.registry();
+        self.resp.accept_newcomers(yes, LISTENER, registry, now);
+        if let Some(front) = &mut self.iscsi {
+            front.accept_newcomers(yes, ISCSI_LISTENER, registry, now);
+        }
+    }
+
+    /// Goes by what the process before leaves of the limits.
+    fn divide(&mut self) {
+        let (for_targets, room) = rooms(&self.config, self.held);
+        self.targets.set_most(for_targets);
+        self.resp.set_room(room);
+    }
+
     /// Tells the fronts what the state of service means for clients.
     fn stand(&mut self) {
         let standing = self.state.standing();
@@ -364,6 +533,7 @@
             }
             // Read before all else in a turn.
             DOOR => {}
+            UPGRADE => self.upgrade.knock(),
             token if ADVERTISEMENTS.contains(&token) => {}
             SIGNAL => {
                 if drained(&mut self.signal) {
@@ -389,6 +559,10 @@
                 }
                 (Some(Kind::IscsiDoor), Some(front)) => front.knock(now),
                 (Some(Kind::Operator), _) => {}
+                (Some(Kind::Upgrade), _) => {
+                    let heard = self.upgrade.ready(id);
+                    self.hear(now, heard);
+                }
                 (Some(Kind::Discovery), _) => {
                     if let Some(news) = self.discovery.ready(now, token) {
                         let kind = news.message.kind();
@@ -496,6 +670,28 @@
     }
 }
 
+/// Descriptors and bytes of memory that this process holds.
+fn holds(clients: usize, targets: usize) -> (usize, usize) {
+    let bytes = process::resident(std::process::id()).unwrap_or(0);
+    (clients + targets + OTHER_DESCRIPTORS, bytes)
+}
+
+/// How many connections to targets there may be, and what clients may take up, where another process holds so many
+/// descriptors and bytes of what this initiator may use.
+fn rooms(config: &Config, (descriptors, bytes): (usize, usize)) -> (usize, Room) {
+    let sockets = config.sockets.saturating_sub(descriptors);
+    let for_targets = (sockets as f64 * TARGETS_PART) as usize;
+    let crowd = (sockets as f64 * CROWD_PART) as usize;
+    let more = OTHER_DESCRIPTORS
+        + if config.iscsi.is_some() { MOST_ISCSI } else { 0 }
+        + if config.control.is_some() { door::DESCRIPTORS } else { 0 };
+    // What is left for clients is little where the limit is low, but never nothing.
+    let clients = sockets.saturating_sub(for_targets + crowd + more).max(MOST_ISCSI / 4);
+    let easy = (sockets as f64 * EASY_PART) as usize;
+    let bytes = config.memory.saturating_sub(bytes) / HELD_PART;
+    (for_targets.max(MOST_ISCSI / 4), Room { easy, clients, crowd, bytes })
+}
+
 /// Takes off what signals have written; true if there was any.
 fn drained(signal: &mut UnixStream) -> bool {
     let mut bytes = [0; 64];
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -206,6 +206,8 @@
     room: Room,
     /// What the state of service means for clients.
     standing: Standing,
+    /// Newcomers at the machine's own address are let in here.
+    accepts: bool,
     /// When newcomers are to be looked for; none are known of otherwise.
     accept_at: Option<Instant>,
     /// Clients that have said more than was taken in this turn.
@@ -216,21 +218,32 @@
 }
 
 impl<P: Protocol> Front<P> {
-    pub fn listen(
+    pub fn new(
         protocol: P,
-        address: SocketAddr,
+        mut listener: TcpListener,
         token: Token,
         registry: &Registry,
         clock: Clock,
         room: Room,
     ) -> std::io::Result<Self> {
-        let mut listener = listen(address)?;
         registry.register(&mut listener, token, Interest::READABLE)?;
         let (clients, backlog) = (HashMap::new(), Vec::new());
         let doors = vec![Door { listener: Some(listener), retired: false }];
-        let standing = Standing { yes: true, keeps_idle: false, shed_from: None };
-        let (accept_at, next_sweep, kept) = (None, Instant::now(), 0);
-        Ok(Front { protocol, doors, clients, clock, room, standing, accept_at, backlog, next_sweep, kept })
+        let standing = Standing { yes: true, keeps_idle: false, shed_from: None, hands_over: false };
+        let (accepts, accept_at, next_sweep, kept) = (true, None, Instant::now(), 0);
+        Ok(Front {
+            protocol,
+            doors,
+            clients,
+            clock,
+            room,
+            standing,
+            accepts,
+            accept_at,
+            backlog,
+            next_sweep,
+            kept,
+        })
     }
 
     /// Where it listens at the machine's own address: the port may have been left to the system.
@@ -315,11 +328,77 @@
     /// process, and those that stay open are still used.
     pub fn stand(&mut self, standing: Standing) {
         self.standing = standing;
+        if standing.shed_from.is_none() {
+            // Whoever was asked for no more, and is still here.
+            self.backlog.extend(self.clients.iter().filter(|(_, client)| client.paused).map(|(id, _)| *id));
+        }
+    }
+
+    /// The machine's own listener, for another process.
+    pub fn listener(&self) -> Option<&TcpListener> {
+        self.doors[0].listener.as_ref()
+    }
+
+    /// Lets newcomers in at the machine's own address, or leaves them to another process that has the same listener.
+    pub fn accept_newcomers(&mut self, yes: bool, token: Token, registry: &Registry, now: Instant) {
+        let Some(listener) = &mut self.doors[0].listener else { return };
+        let changed = match yes {
+            true => registry.register(listener, token, Interest::READABLE),
+            false => registry.deregister(listener),
+        };
+        if let Err(error) = changed {
+            tracing::warn!("the listener: {error}");
+        }
+        (self.accepts, self.accept_at) = (yes, yes.then_some(now));
+    }
+
+    /// Gives idle clients to another process, with what they have begun to say. `give` is asked with none whether it
+    /// takes another one.
+    pub fn hand_over(
+        &mut self,
+        registry: &Registry,
+        mut give: impl FnMut(Option<(TcpStream, Vec<u8>)>) -> bool,
+    ) {
+        let idle = |client: &Client<P::Session>| {
+            let done = client.conn.unwritten() == 0 && client.closing.is_none() && !client.crowded;
+            done && self.protocol.is_idle(&client.session)
+        };
+        let idle: Vec<usize> = self.clients.iter().filter(|(_, it)| idle(it)).map(|(id, _)| *id).collect();
+        for id in idle {
+            if !give(None) {
+                return;
+            }
+            let Some(client) = self.remove(id) else { continue };
+            if let Ok(parts) = client.conn.into_parts(registry) {
+                give(Some(parts));
+            }
+        }
+    }
+
+    /// Takes a client from the process before, with what it had begun to say.
+    pub fn take_over(
+        &mut self,
+        now: Instant,
+        (stream, input): (TcpStream, Vec<u8>),
+        token: Token,
+        registry: &Registry,
+        core: &mut Core,
+    ) {
+        self.admit(now, stream, 0, self.clients.len() >= self.room.clients, token, registry);
+        if let Some(client) = self.clients.get_mut(&token.0) {
+            client.conn.input = input;
+            self.ready(now, token.0, core);
+        }
+    }
+
+    /// What clients may take up from now on.
+    pub fn set_room(&mut self, room: Room) {
+        self.room = room;
     }
 
-    /// Whether clients are sent away as they become idle.
+    /// Whether connections are closed as they become idle.
     fn sheds(&self, now: Instant) -> bool {
-        self.standing.shed_from.is_some_and(|from| from <= now)
+        !self.standing.hands_over && self.standing.shed_from.is_some_and(|from| from <= now)
     }
 
     /// Newcomers wait.
@@ -357,8 +436,8 @@
                     self.accept_at = Some(now + ROOM_PAUSE);
                     return;
                 }
-                let accepted = self.doors[door].listener.as_ref().map(TcpListener::accept);
-                match accepted {
+                let accepted = self.doors[door].listener.as_ref().filter(|_| self.accepts || door > 0);
+                match accepted.map(TcpListener::accept) {
                     Some(Ok((stream, _))) => {
                         let crowded = self.clients.len() >= self.room.clients;
                         self.admit(now, stream, door, crowded, next(), registry);
@@ -573,7 +652,7 @@
         let kept = unwritten + client.conn.input.len();
         self.kept = self.kept + kept - std::mem::replace(&mut client.kept, kept);
         // Guards against a client that goes on asking where it is only sent away.
-        let shed = self.standing.shed_from.is_some_and(|from| from <= now);
+        let shed = !self.standing.hands_over && self.standing.shed_from.is_some_and(|from| from <= now);
         let shed = shed && client.conn.input.is_empty() && self.protocol.has_asked(&client.session);
         let asks_on = client.sent_away.is_some_and(|since| now - since > SILENCE);
         if (client.closing.is_some() || asks_on || shed)
@@ -637,7 +716,8 @@
         let room = Room { easy: 4, clients: 4, crowd: 0, bytes: 1 << 20 };
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let resp = resp::Resp { wire, retry_after: second };
-        let mut front = Front::listen(resp, any, Token(0), poll.registry(), clock, room).unwrap();
+        let mut front =
+            Front::new(resp, listen(any).unwrap(), Token(0), poll.registry(), clock, room).unwrap();
         let mut core = Core::new(clock, second);
         let mut client = std::net::TcpStream::connect(front.address().unwrap()).unwrap();
         let ping = b"*1\r\n$4\r\nPING\r\n";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod shares;
 mod target;
 mod tokens;
+mod upgrade;
 pub mod vrrp;
 
 pub use rules::Scheduler;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -9,8 +9,10 @@
 use crate::discovery::{News, Status};
 use crate::interface::{Event, ListKind, NodeEntry, NodeId, NodeState};
 use crate::target::{Endpoint, Wire};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Targets that may be out at once.
@@ -35,6 +37,20 @@
     unix: Duration,
 }
 
+/// The list with its bans, as one process gives it to the next. Ages are of the moment it is given.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Carried {
+    zones: Vec<String>,
+    ids: Vec<(String, NodeId)>,
+    next_id: u32,
+    /// RESP2 nodes with the age of their drains.
+    nodes: Vec<(SocketAddr, NodeEntry, Option<Duration>)>,
+    /// Names, ages and times of bans.
+    bans: Vec<(String, Duration, Duration)>,
+    returned: Vec<(String, Duration)>,
+    listed: Vec<u64>,
+}
+
 /// The nodes, by the names that discovery gives them.
 #[derive(Default)]
 pub struct Membership {
@@ -186,6 +202,45 @@
         self.known.get(&node).and_then(|known| known.drains)
     }
 
+    /// For the process that takes the place of this one.
+    pub fn carry(&self, now: Instant) -> Carried {
+        let age = |since: Instant| now.saturating_duration_since(since);
+        let nodes = self.known.values().filter(|known| known.endpoint.wire == Wire::Resp);
+        let node = |known: &Known| (known.endpoint.address, known.line.clone(), known.drains.map(age));
+        Carried {
+            zones: self.zones.clone(),
+            ids: self.ids.iter().map(|(name, id)| (name.clone(), *id)).collect(),
+            next_id: self.next_id,
+            nodes: nodes.map(node).collect(),
+            bans: self.bans.iter().map(|(name, ban)| (name.clone(), age(ban.since), ban.unix)).collect(),
+            returned: self.returned.iter().map(|(name, unix)| (name.clone(), *unix)).collect(),
+            listed: self.listed_order.iter().copied().collect(),
+        }
+    }
+
+    /// Goes on from what the process before had; what to tell the scheduler. Nothing is taken where zones are others.
+    pub fn load(&mut self, now: Instant, carried: Carried) -> Option<Event> {
+        if carried.zones != self.zones {
+            return None;
+        }
+        let ago = |age: Duration| now.checked_sub(age).unwrap_or(now);
+        self.next_id = self.next_id.max(carried.next_id);
+        self.ids.extend(carried.ids);
+        for (address, line, drains) in carried.nodes {
+            let endpoint = Endpoint { address, wire: Wire::Resp };
+            self.known.insert(line.node, Known { endpoint, line, drains: drains.map(ago) });
+        }
+        let bans = carried.bans.into_iter().take(MOST_BANS);
+        self.bans = bans.map(|(name, age, unix)| (name, Ban { since: ago(age), unix })).collect();
+        self.returned = carried.returned.into_iter().take(MOST_NAMES).collect();
+        self.listed_order = carried.listed.into_iter().take(MOST_NAMES).collect();
+        self.listed = self.listed_order.iter().copied().collect();
+        let banned = |node| self.bans.keys().any(|name| self.ids.get(name) == Some(&node));
+        let line =
+            |known: &Known| if banned(known.line.node) { drained(&known.line) } else { known.line.clone() };
+        Some(Event::List { kind: ListKind::Cached, entries: self.known.values().map(line).collect() })
+    }
+
     /// Where a node is reached, if an attempt may begin there: guards the rule on drains where the scheduler decided on
     /// news that are older than this.
     pub fn open(&self, now: Instant, node: NodeId, grace: Duration) -> Option<&Endpoint> {
@@ -223,7 +278,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use super::*;
     use crate::discovery::{Endpoint as Line, ListMessage};
     use proptest::prelude::*;
@@ -239,6 +294,19 @@
         News { message: ListMessage { index: 1, snapshot, endpoints }, fresh: true }
     }
 
+    /// One of everything.
+    pub fn some() -> Membership {
+        let (now, mut nodes) = (Instant::now(), Membership::new(vec!["z".into()]));
+        let lines = ["s-1", "s-2", "s-3"].map(|name| line(name, Status::Active, 1.0)).to_vec();
+        nodes.take(now, told(true, lines), ListKind::Full);
+        nodes.take(now, told(false, vec![line("s-1", Status::Leaving, 1.0)]), ListKind::Delta);
+        for name in ["s-2", "s-3"] {
+            nodes.ban(now, seconds(100), name).unwrap();
+        }
+        nodes.call_back(seconds(110), "s-3").unwrap();
+        nodes
+    }
+
     fn states(event: &Event) -> Vec<(NodeState, Option<Duration>)> {
         let Event::List { entries, .. } = event else { panic!("not a list") };
         entries.iter().map(|entry| (entry.state, entry.started)).collect()
@@ -276,6 +344,28 @@
         assert_eq!(states(&event), [(NodeState::Ready, Some(seconds(145)))]);
     }
 
+    #[test]
+    fn bans_and_drains_go_on_with_their_clocks_in_the_next_process() {
+        let (now, mut old) = (Instant::now(), Membership::new(vec!["z".into()]));
+        let lines = || vec![line("s-1", Status::Active, 0.0), line("s-2", Status::Active, 0.0)];
+        old.take(now, told(true, lines()), ListKind::Full);
+        old.take(now, told(false, vec![line("s-2", Status::Leaving, 0.0)]), ListKind::Delta);
+        old.ban(now, seconds(100), "s-1").unwrap();
+        let later = now + Duration::from_millis(1500);
+        let mut new = Membership::new(vec!["z".into()]);
+        let event = new.load(later, old.carry(later)).unwrap();
+        assert!(states(&event).iter().all(|(state, _)| *state == NodeState::Draining));
+        for (at, open) in [(1900, true), (2100, false)] {
+            let at = now + Duration::from_millis(at);
+            for name in ["s-1", "s-2"] {
+                assert_eq!(old.ids[name], new.ids[name]);
+                assert_eq!(new.open(at, new.ids[name], GRACE).is_some(), open, "{name}");
+            }
+        }
+        assert!(new.call_back(seconds(110), "s-1").unwrap().is_some());
+        assert!(Membership::new(vec!["y".into()]).load(later, old.carry(later)).is_none());
+    }
+
     #[derive(Clone, Debug)]
     enum Step {
         Ban(usize),
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::Clock;
 use crate::interface::{Action, Event, Settings};
+use crate::rules::Carried;
 use crate::Scheduler;
 use std::time::Instant;
 
@@ -29,4 +30,19 @@
         self.scheduler.handle(self.clock.unix(now), events, &mut actions);
         actions
     }
+
+    /// Gives what it has learned to the process that takes the place of this one.
+    pub fn hand_over(&mut self, now: Instant) -> Carried {
+        self.scheduler.hand_over(self.clock.unix(now))
+    }
+
+    /// Goes on from what the process before gave; false where that had other settings.
+    pub fn take_over(&mut self, carried: Carried) -> bool {
+        self.scheduler.take_over(carried)
+    }
+
+    /// The process before is gone, with what it had kept.
+    pub fn take_all(&mut self, now: Instant) {
+        self.scheduler.take_all(self.clock.unix(now));
+    }
 }
--- a/src/quantity.rs
+++ b/src/quantity.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// A quantity that drains or fills at a rate between two bounds.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, serde::Serialize, serde::Deserialize)]
 pub(crate) struct Store {
     pub level: f64,
     pub at: Duration,
@@ -19,7 +19,7 @@
 }
 
 /// A figure that fades with time.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, serde::Serialize, serde::Deserialize)]
 pub(crate) struct Fading {
     pub value: f64,
     pub at: Duration,
--- a/src/random.rs
+++ b/src/random.rs
@@ -1,7 +1,7 @@
 //! Drawn numbers: a linear congruential generator, the same on all machines. It spreads what hosts would do together, and
 //! keeps no secrets.
 
-#[derive(Default)]
+#[derive(Clone, Default, serde::Serialize, serde::Deserialize)]
 pub(crate) struct Random(u64);
 
 impl Random {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,6 +3,9 @@
 //! Order of this file: constants, state, event intake, the three layers of the design (class controller,
 //! arbiter, node allocator), dispatch, rule guards, health. docs/design.md says what was kept and changed.
 
+mod carry;
+
+pub use self::carry::Carried;
 use crate::interface::*;
 use crate::quantity::{Fading, Store};
 use crate::random::Random;
@@ -56,7 +59,7 @@
 /// First and longest pause after a failed list call, in control intervals.
 const LIST_PAUSES: (f64, f64) = (0.5, 4.0);
 
-#[derive(Default)]
+#[derive(Default, Clone, serde::Serialize, serde::Deserialize)]
 struct Request {
     new: NewRequest,
     /// When it was taken, and when its client first asked, as far as its deadline tells.
@@ -76,7 +79,7 @@
 }
 
 /// A class controller's memory.
-#[derive(Default)]
+#[derive(Default, Clone, serde::Serialize, serde::Deserialize)]
 struct ClassControl {
     /// Normalized bound and last ask.
     bound: f64,
@@ -87,7 +90,7 @@
     latency: (Duration, f64),
 }
 
-#[derive(Default)]
+#[derive(Default, Clone, serde::Serialize, serde::Deserialize)]
 struct Node {
     entry: NodeEntry,
     /// While it drains: until when it still gets what no other node holds.
@@ -116,7 +119,7 @@
 }
 
 /// What a shard serves this host, over the nodes that hold it one after another.
-#[derive(Default)]
+#[derive(Default, Clone, serde::Serialize, serde::Deserialize)]
 struct Power {
     /// Smoothed units a second, the intervals it is smoothed over, and units of this interval.
     rate: f64,
@@ -127,14 +130,14 @@
 }
 
 /// What a node remembers of an attempt out.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, serde::Serialize, serde::Deserialize)]
 struct Out {
     sent: Duration,
     class: usize,
     units: f64,
 }
 
-#[derive(Default)]
+#[derive(Default, Clone, serde::Serialize, serde::Deserialize)]
 struct Volume {
     limit: Store,
     /// Plan and hosts, as its last request said.
@@ -149,7 +152,7 @@
     place: f64,
 }
 
-#[derive(Default)]
+#[derive(Default, Clone, serde::Serialize, serde::Deserialize)]
 struct KeyLine {
     /// In the order taken: those unfinished or with an attempt out.
     waiting: VecDeque<RequestId>,
@@ -159,7 +162,7 @@
 }
 
 /// The decisions of one host.
-#[derive(Default)]
+#[derive(Default, Clone, serde::Serialize, serde::Deserialize)]
 pub struct Scheduler {
     settings: Settings,
     now: Duration,
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -44,8 +44,10 @@
     pub yes: bool,
     /// Whether idle clients are kept, since they could not come again.
     pub keeps_idle: bool,
-    /// From when on clients are sent away as they become idle.
+    /// From when on clients leave as they become idle, and are asked for no more before.
     pub shed_from: Option<Instant>,
+    /// They go to another process with their connections; else these are closed.
+    pub hands_over: bool,
 }
 
 /// The state of service.
@@ -53,7 +55,7 @@
 pub struct State {
     started: bool,
     drained: Option<Instant>,
-    replaced: bool,
+    replaced: Option<Instant>,
     ending: Option<Instant>,
 }
 
@@ -62,7 +64,7 @@
     pub fn phase(&self) -> Phase {
         match self {
             State { ending: Some(_), .. } => Phase::Ending,
-            State { replaced: true, .. } => Phase::Replaced,
+            State { replaced: Some(_), .. } => Phase::Replaced,
             State { drained: Some(_), .. } => Phase::Drained,
             State { started: true, .. } => Phase::Serving,
             _ => Phase::Starting,
@@ -73,9 +75,10 @@
     /// connection asks about the address.
     pub fn standing(&self) -> Standing {
         Standing {
-            yes: self.drained.is_none() && (self.ending.is_none() || self.replaced),
-            keeps_idle: self.ending.is_some() && self.drained.is_none() && !self.replaced,
-            shed_from: self.drained.map(|since| since + SHED_AFTER),
+            yes: self.drained.is_none() && (self.ending.is_none() || self.is_replaced()),
+            keeps_idle: self.ending.is_some() && self.drained.is_none() && !self.is_replaced(),
+            shed_from: self.replaced.or(self.drained.map(|since| since + SHED_AFTER)),
+            hands_over: self.is_replaced(),
         }
     }
 
@@ -86,7 +89,7 @@
 
     /// No more clients, as an operator asks. Once is as good as often.
     pub fn drain(&mut self, now: Instant) -> Result<(), &'static str> {
-        if self.replaced {
+        if self.is_replaced() {
             // Guards an operator's belief: this process has nothing left to drain, the other one has it all.
             return Err("another process took over: ask that one");
         }
@@ -99,13 +102,33 @@
         if self.ending.is_some() {
             return Err("it is ending");
         }
-        if self.replaced {
+        if self.is_replaced() {
             return Err("another process took over: ask that one");
         }
         self.drained = None;
         Ok(())
     }
 
+    /// Another process takes its clients.
+    pub fn replace(&mut self, now: Instant) {
+        self.replaced.get_or_insert(now);
+    }
+
+    /// The other process is gone: clients are this one's again.
+    pub fn take_back(&mut self) {
+        self.replaced = None;
+    }
+
+    /// Whether another process takes its clients.
+    pub fn is_replaced(&self) -> bool {
+        self.replaced.is_some()
+    }
+
+    /// Whether an operator has drained it.
+    pub fn is_drained(&self) -> bool {
+        self.drained.is_some()
+    }
+
     /// It is to end.
     pub fn end(&mut self, now: Instant) {
         self.ending.get_or_insert(now);
@@ -127,11 +150,20 @@
         Start,
         Drain,
         Resume,
+        Replace,
+        TakeBack,
         End,
     }
 
     fn steps() -> impl Strategy<Value = Vec<Step>> {
-        let one = prop::sample::select(vec![Step::Start, Step::Drain, Step::Resume, Step::End]);
+        let one = prop::sample::select(vec![
+            Step::Start,
+            Step::Drain,
+            Step::Resume,
+            Step::Replace,
+            Step::TakeBack,
+            Step::End,
+        ]);
         prop::collection::vec(one, 0..20)
     }
 
@@ -148,25 +180,31 @@
         assert_eq!((state.phase(), state.standing().yes), (Phase::Drained, false));
         assert!(shed > now + Duration::from_millis(300) && shed < now + Duration::from_secs(1));
         state.resume().unwrap();
-        assert_eq!(state.standing(), Standing { yes: true, keeps_idle: false, shed_from: None });
+        assert_eq!(
+            state.standing(),
+            Standing { yes: true, keeps_idle: false, shed_from: None, hands_over: false }
+        );
     }
 
     proptest! {
         #[test]
         fn an_end_is_final_and_no_order_of_calls_says_yes_to_what_is_not_taken(steps in steps()) {
             let (mut state, now) = (State::default(), Instant::now());
-            let mut ended = false;
+            let (mut ended, mut replaced) = (false, false);
             for step in steps {
                 match step {
                     Step::Start => state.start(),
-                    Step::Drain => prop_assert!(state.drain(now).is_ok()),
-                    Step::Resume => prop_assert_eq!(state.resume().is_ok(), !ended),
+                    Step::Drain => prop_assert_eq!(state.drain(now).is_ok(), !replaced),
+                    Step::Resume => prop_assert_eq!(state.resume().is_ok(), !ended && !replaced),
+                    Step::Replace => { state.replace(now); replaced = true; }
+                    Step::TakeBack => { state.take_back(); replaced = false; }
                     Step::End => { state.end(now); ended = true; }
                 }
                 let (phase, standing) = (state.phase(), state.standing());
                 prop_assert_eq!(phase == Phase::Ending, ended);
-                prop_assert!(!standing.yes || matches!(phase, Phase::Serving | Phase::Starting));
-                prop_assert!(!standing.keeps_idle || ended, "a plain end keeps idle clients, nothing else does");
+                prop_assert!(!standing.yes || replaced || matches!(phase, Phase::Serving | Phase::Starting));
+                prop_assert!(!standing.keeps_idle || (ended && !replaced), "only a plain end keeps idle clients");
+                prop_assert_eq!(standing.hands_over, replaced);
             }
         }
     }
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -255,6 +255,23 @@
         }
     }
 
+    /// How many connections may be held together from now on.
+    pub fn set_most(&mut self, most: usize) {
+        self.most = most;
+    }
+
+    /// Closes all connections that are idle: another process needs the descriptors.
+    pub fn close_all_idle(&mut self) {
+        for id in std::mem::take(&mut self.idle).into_values().flatten() {
+            self.conns.remove(&id);
+        }
+    }
+
+    /// Connections held.
+    pub fn len(&self) -> usize {
+        self.conns.len()
+    }
+
     fn close_idle(&mut self, node: NodeId) {
         for id in self.idle.remove(&node).unwrap_or_default() {
             self.conns.remove(&id);
--- a/src/tokens.rs
+++ b/src/tokens.rs
@@ -26,9 +26,11 @@
     Planner,
     /// A caller at the operators' door.
     Operator,
+    /// Another process of this initiator.
+    Upgrade,
 }
 
-const ALL: [Kind; 8] = [
+const ALL: [Kind; 9] = [
     Kind::RespClient,
     Kind::IscsiClient,
     Kind::Target,
@@ -37,6 +39,7 @@
     Kind::IscsiDoor,
     Kind::Planner,
     Kind::Operator,
+    Kind::Upgrade,
 ];
 
 impl Kind {
--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -72,6 +72,11 @@
     }
 }
 
+/// An address that is free at the moment.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
 /// A folder for one test's files.
 pub fn folder() -> std::path::PathBuf {
     static COUNT: Mutex<u32> = Mutex::new(0);
@@ -107,18 +112,10 @@
 
     /// Does not wait until it has the list.
     pub fn spawn(discovery: &Discovery, setup: Setup) -> Program {
-        let deadline = if setup.deadline_ms == 0 { 5000 } else { setup.deadline_ms };
-        let settings = SETTINGS.replace("DEADLINE", &deadline.to_string());
-        let settings = settings.replace("LIMIT", &setup.limit.to_string());
-        let settings = settings.replace("HOSTS", &setup.hosts.max(1).to_string());
-        let known = if setup.known.is_empty() { "null" } else { &setup.known };
         let listen = setup.listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
         let name = if setup.name.is_empty() { "n1" } else { &setup.name };
         let control = if setup.control { "\"127.0.0.1:0\"" } else { "null" };
-        let config = format!(
-            r#"{{"name":"{name}","listen":"{listen}","control":{control},"discovery":"DISCOVERY","seed":"8c1f30d27a5be964",
-             "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{known},"settings":{settings}}}"#
-        );
+        let config = Program::config(name, listen, control, "DISCOVERY", &setup);
         let text = config.replace("DISCOVERY", &discovery.address.to_string());
         let (mut command, files) = command(&text, &setup.iscsi);
         if !setup.planners.is_empty() {
@@ -157,6 +154,25 @@
         ask(self.door(), format!("{line}\n").as_bytes())
     }
 
+    /// A configuration.
+    pub fn config(name: &str, listen: SocketAddr, control: &str, discovery: &str, setup: &Setup) -> String {
+        let deadline = if setup.deadline_ms == 0 { 5000 } else { setup.deadline_ms };
+        let settings = SETTINGS.replace("DEADLINE", &deadline.to_string());
+        let settings = settings.replace("LIMIT", &setup.limit.to_string());
+        let settings = settings.replace("HOSTS", &setup.hosts.max(1).to_string());
+        let known = if setup.known.is_empty() { "null" } else { &setup.known };
+        format!(
+            r#"{{"name":"{name}","listen":"{listen}","control":{control},"discovery":"{discovery}",
+             "seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{known},
+             "settings":{settings}}}"#
+        )
+    }
+
+    /// Where the next process of it would find it.
+    pub fn meeting_place(&self, shared: &std::path::Path) -> std::path::PathBuf {
+        shared.join(format!("topazpath-{}-{}.sock", self.resp.ip(), self.resp.port()))
+    }
+
     /// Sends it a signal by name.
     pub fn signal(&self, name: &str) {
         signal(&self.child, name);
--- a/tests/net/main.rs
+++ b/tests/net/main.rs
@@ -5,4 +5,5 @@
 mod operators;
 mod planner;
 mod resp;
+mod upgrade;
 mod vrrp;
