--- a/src/conn.rs
+++ b/src/conn.rs
@@ -3,12 +3,16 @@
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
 
 /// Room a read asks for at once.
 const READ_BYTES: usize = 64 * 1024;
 
+/// What is written is kept in pieces of about this size.
+const PIECE_BYTES: usize = 64 * 1024;
+
 thread_local! {
     /// Where reads go first: a connection keeps only what has come, not the room for more.
     static ARRIVING: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
@@ -37,14 +41,20 @@
     stream: TcpStream,
     /// What has come and was not consumed yet.
     pub input: Vec<u8>,
-    output: Vec<u8>,
+    /// What is to be written, in pieces: a long value comes in as such, and is not moved together.
+    output: VecDeque<Vec<u8>>,
+    /// Bytes of all pieces, and what of the first was written.
+    unwritten: usize,
     written: usize,
+    /// Something of what is to be written has gone out.
+    begun: bool,
 }
 
 impl Conn {
     pub fn new(mut stream: TcpStream, token: Token, registry: &Registry) -> std::io::Result<Self> {
         registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
-        Ok(Conn { stream, input: Vec::new(), output: Vec::new(), written: 0 })
+        let (input, output) = (Vec::new(), VecDeque::new());
+        Ok(Conn { stream, input, output, unwritten: 0, written: 0, begun: false })
     }
 
     pub fn connect(address: SocketAddr, token: Token, registry: &Registry) -> std::io::Result<Self> {
@@ -97,11 +107,6 @@
         }
     }
 
-    /// Adds to what is to be written.
-    pub fn push(&mut self, bytes: &[u8]) {
-        self.output.extend_from_slice(bytes);
-    }
-
     /// Lets go of the connection, with what was read of it and not taken. It was all written.
     pub fn into_parts(mut self, registry: &Registry) -> std::io::Result<(TcpStream, Vec<u8>)> {
         registry.deregister(&mut self.stream)?;
@@ -113,30 +118,46 @@
         self.stream.shutdown(std::net::Shutdown::Write)
     }
 
+    /// Adds to what is to be written.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.unwritten += bytes.len();
+        match self.output.back_mut().filter(|last| last.len() + bytes.len() <= PIECE_BYTES) {
+            Some(last) => last.extend_from_slice(bytes),
+            None if bytes.is_empty() => {}
+            None => self.output.push_back(bytes.to_vec()),
+        }
+    }
+
     /// Bytes not handed to the kernel yet.
     pub fn unwritten(&self) -> usize {
-        self.output.len() - self.written
+        self.unwritten
     }
 
     /// Whether any byte of what is to be written has gone out.
     pub fn has_begun(&self) -> bool {
-        self.written > 0
+        self.begun
     }
 
     /// Writes as much as goes; an error means that the connection broke.
     pub fn flush(&mut self) -> std::io::Result<()> {
-        while self.unwritten() > 0 {
-            match self.stream.write(&self.output[self.written..]) {
+        while let Some(piece) = self.output.front() {
+            match self.stream.write(&piece[self.written..]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => self.written += count,
+                Ok(count) => {
+                    (self.written, self.unwritten, self.begun) =
+                        (self.written + count, self.unwritten - count, true);
+                    if self.written == piece.len() {
+                        self.output.pop_front();
+                        self.written = 0;
+                    }
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
         }
-        // A large value must not keep its room for the life of an idle connection.
-        self.output = Vec::new();
-        self.written = 0;
+        // An idle connection keeps no room.
+        (self.output, self.begun) = (VecDeque::new(), false);
         Ok(())
     }
 }
--- a/src/core.rs
+++ b/src/core.rs
@@ -4,6 +4,7 @@
 //! planner's actions are carried out; what comes back is [`Effect`]s for fronts and targets.
 
 use crate::clock::Clock;
+use crate::flow::Flow;
 use crate::interface::{Action, AttemptEnd, Event, NewRequest, NodeId, Outcome, RequestId};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -39,6 +40,8 @@
     /// Further names and values, less the deadline: `c=read,t=gold,...`.
     pub attributes: String,
     pub body: Vec<u8>,
+    /// The body in its stead, where it is long.
+    pub flow: Option<Flow>,
     /// Where it lies on block storage; without it only nodes of objects can serve it.
     pub extent: Option<Extent>,
 }
@@ -65,14 +68,17 @@
     pub outcome: Outcome,
     pub used: Option<f64>,
     pub elsewhere: f64,
-    /// The value, where it was served.
+    /// The value, where it was served and is not long.
     pub value: Vec<u8>,
+    /// From the last byte of the command to the first of the answer, where one of them is long: the time that peers
+    /// take to read and write is not the node's.
+    pub took: Option<Duration>,
 }
 
 impl Ended {
     /// An end that no answer came with.
     pub fn bare(outcome: Outcome) -> Self {
-        Ended { outcome, used: None, elsewhere: 0.0, value: Vec::new() }
+        Ended { outcome, used: None, elsewhere: 0.0, value: Vec::new(), took: None }
     }
 }
 
@@ -102,6 +108,15 @@
         origin: Origin,
         answer: Answer,
     },
+    /// There is more of the body of an attempt.
+    Moved {
+        attempt: AttemptId,
+    },
+    /// A long answer that was begun has come to its end, whole or not.
+    Finish {
+        origin: Origin,
+        whole: bool,
+    },
 }
 
 /// Counts since the start, and what is open now.
@@ -130,6 +145,9 @@
     pub reloads_failed: u64,
     pub operator_calls: u64,
     pub clients_taken_over: u64,
+    pub bodies_long: u64,
+    pub answers_long: u64,
+    pub answers_cut: u64,
 }
 
 impl Counters {
@@ -159,6 +177,9 @@
             ("reloads_failed", self.reloads_failed),
             ("operator_calls", self.operator_calls),
             ("clients_taken_over", self.clients_taken_over),
+            ("bodies_long", self.bodies_long),
+            ("answers_long", self.answers_long),
+            ("answers_cut", self.answers_cut),
         ];
         rows.iter().map(|(name, count)| format!("{name}:{count}\r\n")).collect()
     }
@@ -196,6 +217,8 @@
     answered: bool,
     /// An ended attempt may have run.
     ran: bool,
+    /// The attempt whose long answer has begun.
+    streams: Option<u32>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -284,7 +307,15 @@
         self.timers.push(Reverse((deadline + OVERDUE, Timer::Overdue(id))));
         self.held_bytes += content.body.len();
         let content = Rc::new(content);
-        let open = Open { origin, content, deadline, attempts: Vec::new(), answered: false, ran: false };
+        let open = Open {
+            origin,
+            content,
+            deadline,
+            attempts: Vec::new(),
+            answered: false,
+            ran: false,
+            streams: None,
+        };
         self.requests.insert(id, open);
         self.counters.taken += 1;
         tracing::trace!(id = id.0, ?new, "taken");
@@ -300,9 +331,57 @@
         }
     }
 
+    /// A long answer begins: it is the client's from here on. Where it goes, unless nobody waits for it.
+    pub fn stream_begins(&mut self, attempt: AttemptId) -> Option<Origin> {
+        let open = self.requests.get_mut(&attempt.request).filter(|open| !open.answered)?;
+        open.attempts.get(attempt.number as usize).filter(|it| it.running)?;
+        (open.answered, open.streams) = (true, Some(attempt.number));
+        self.counters.served += 1;
+        self.counters.answers_long += 1;
+        self.events.push(Event::StreamStarted { id: attempt.request });
+        Some(open.origin)
+    }
+
+    /// Where the answer of an attempt goes that has begun.
+    pub fn stream(&self, attempt: AttemptId) -> Option<Origin> {
+        let open = self.requests.get(&attempt.request)?;
+        (open.streams == Some(attempt.number)).then_some(open.origin)
+    }
+
+    /// Where a request came from.
+    pub fn origin(&self, id: RequestId) -> Option<Origin> {
+        self.requests.get(&id).map(|open| open.origin)
+    }
+
+    /// More of a long body has come.
+    pub fn body_moved(&mut self, id: RequestId) {
+        let Some(open) = self.requests.get(&id) else { return };
+        for (number, _) in open.attempts.iter().enumerate().filter(|(_, it)| it.running) {
+            self.effects.push(Effect::Moved { attempt: AttemptId { request: id, number: number as u32 } });
+        }
+    }
+
+    /// The last byte of a long body has come: its client's time counts from now on, and ends then.
+    pub fn body_came(&mut self, id: RequestId, deadline: Duration) {
+        let Some(open) = self.requests.get_mut(&id).filter(|open| !open.answered) else { return };
+        open.deadline = open.deadline.min(self.clock.instant(deadline));
+        self.timers.push(Reverse((open.deadline + OVERDUE, Timer::Overdue(id))));
+        for (number, _) in open.attempts.iter().enumerate().filter(|(_, it)| it.running) {
+            let attempt = AttemptId { request: id, number: number as u32 };
+            self.timers.push(Reverse((open.deadline, Timer::GiveUp(attempt))));
+        }
+    }
+
     /// The client of a request no longer waits. Nothing is answered any more.
     pub fn client_gone(&mut self, id: RequestId) {
-        let Some(open) = self.requests.get_mut(&id).filter(|open| !open.answered) else { return };
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        if let Some(number) = open.streams.take() {
+            let attempt = AttemptId { request: id, number };
+            self.effects.push(Effect::Stop { attempt, outcome: Outcome::Cancelled });
+        }
+        if open.answered {
+            return;
+        }
         open.answered = true;
         self.counters.clients_gone += 1;
         self.events.push(Event::ClientGone { id });
@@ -320,19 +399,27 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(it) = open.attempts.get_mut(attempt.number as usize).filter(|it| it.running) else { return };
         it.running = false;
-        let (node, latency) = (it.node, now - it.sent);
+        let (node, latency) = (it.node, ended.took.unwrap_or(now - it.sent));
+        let streams = open.streams.take_if(|number| *number == attempt.number).is_some();
+        let gone = open.content.flow.as_ref().is_some_and(|flow| !flow.is_repeatable());
         open.ran |= may_have_run(ended.outcome);
         tracing::trace!(id = id.0, node = node.0, outcome = ?ended.outcome, ?latency, "attempt ended");
         self.counters.attempt_ended(ended.outcome);
-        if ended.outcome == Outcome::Served {
+        if streams {
+            let whole = ended.outcome == Outcome::Served;
+            self.effects.push(Effect::Finish { origin: open.origin, whole });
+        } else if ended.outcome == Outcome::Served {
             self.answer(id, Answer::Served(ended.value));
+        } else if gone {
+            // Guards against half a body: what was let go of cannot be sent again.
+            self.end_without_planner(id);
         }
         self.events.push(Event::AttemptEnded(AttemptEnd {
             id,
             attempt: attempt.number,
             node,
             outcome: ended.outcome,
-            finished: self.requests[&id].answered,
+            finished: self.requests.get(&id).is_none_or(|open| open.answered),
             latency,
             used: ended.used,
             elsewhere: ended.elsewhere,
@@ -381,6 +468,10 @@
         tracing::trace!(id = id.0, node = node.0, number = attempt.number, "attempt begins");
         self.timers.push(Reverse((give_up_at, Timer::GiveUp(attempt))));
         let content = open.content.clone();
+        if content.flow.is_some() {
+            // Guards a body that takes its time against being withdrawn for it.
+            self.events.push(Event::StreamStarted { id });
+        }
         self.effects.push(Effect::Start { attempt, node, content, give_up_at });
     }
 
@@ -389,6 +480,10 @@
         open.and_then(|open| open.attempts.get(attempt.number as usize)).is_some_and(|it| it.running)
     }
 
+    fn is_overdue(&self, id: RequestId, now: Instant) -> bool {
+        self.requests.get(&id).is_some_and(|open| !open.answered && open.deadline + OVERDUE <= now)
+    }
+
     /// Gives the final answer, unless there was one.
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(open) = self.requests.get_mut(&id).filter(|open| !open.answered) else { return };
@@ -431,10 +526,11 @@
             self.timers.pop();
             match timer {
                 Timer::Wake => woken = true,
-                Timer::GiveUp(attempt) if self.is_running(attempt) => {
+                // What a node still sends of a long answer is not cut off.
+                Timer::GiveUp(attempt) if self.is_running(attempt) && self.stream(attempt).is_none() => {
                     self.effects.push(Effect::Stop { attempt, outcome: Outcome::TimedOut });
                 }
-                Timer::Overdue(id) if self.requests.get(&id).is_some_and(|open| !open.answered) => {
+                Timer::Overdue(id) if self.is_overdue(id, now) => {
                     tracing::warn!(request = id.0, "no decision by the deadline");
                     self.counters.answered_overdue += 1;
                     self.end(id);
@@ -518,6 +614,7 @@
                 id: name.to_string(),
                 attributes: String::new(),
                 body: vec![0; 10],
+                flow: None,
                 extent: None,
             };
             self.core.take(
--- a/src/forwarder.rs
+++ b/src/forwarder.rs
@@ -6,6 +6,7 @@
 use crate::control::Call;
 use crate::core::{Core, Effect, Ended};
 use crate::discovery::{Discovery, News};
+use crate::flow::{Budget, WINDOW};
 use crate::front::{iscsi, listen, resp, Front, Room};
 use crate::interface::{Event, ListKind, Outcome};
 use crate::membership::Membership;
@@ -14,7 +15,7 @@
 use crate::process::{self, Signals};
 use crate::service::addresses::{Addresses, Lent, Seen};
 use crate::service::{Phase, State};
-use crate::target::{Start, Targets};
+use crate::target::{Flowing, Start, Targets};
 use crate::tokens::{Kind, Tokens};
 use crate::upgrade::frame::{Carried, Place};
 use crate::upgrade::{self, Before, Heard, Upgrade};
@@ -36,6 +37,8 @@
 const MOST_ISCSI: usize = 64;
 /// Part of the memory that what is held for clients may take up.
 const HELD_PART: usize = 4;
+/// Part of the memory that long values may take up.
+const LONG_PART: usize = 3;
 /// After SIGTERM new connections go on arriving for a while, and are served.
 const LINGER: Duration = Duration::from_millis(450);
 /// After SIGTERM clients go on using the connections they have. The platform leaves the longest deadline, of which
@@ -61,6 +64,8 @@
 pub struct Forwarder {
     poll: Poll,
     clock: Clock,
+    /// Memory for long values.
+    budget: Budget,
     core: Core,
     planner: Planner,
     /// Remote planners, where there are any.
@@ -143,7 +148,8 @@
                 })
                 .map_err(|error| format!("{address}: {error}"))
         });
-        let resp = resp::Resp { wire, retry_after };
+        let budget = Budget::new(config.memory / LONG_PART);
+        let resp = resp::Resp { wire, retry_after, budget: budget.clone() };
         let resp = listen(Place::Resp(config.listen), config.listen)
             .and_then(|listener| Front::new(resp, listener, LISTENER, poll.registry(), clock, room))
             .map_err(|error| format!("{}: {error}", config.listen))?;
@@ -184,6 +190,7 @@
         let mut forwarder = Forwarder {
             poll,
             clock,
+            budget,
             core,
             planner,
             planners,
@@ -512,6 +519,7 @@
     fn divide(&mut self) {
         let (for_targets, room) = rooms(&self.config, self.held);
         self.targets.set_most(for_targets);
+        self.budget.resize(self.config.memory.saturating_sub(self.held.1) / LONG_PART);
         self.resp.set_room(room);
     }
 
@@ -628,6 +636,7 @@
     /// Planner rounds until nothing more happens at once.
     fn plan(&mut self, now: Instant) {
         loop {
+            self.pass_on(now);
             for (attempt, ended) in std::mem::take(&mut self.targets.ended) {
                 self.core.attempt_ended(now, attempt, ended);
             }
@@ -649,8 +658,47 @@
         }
     }
 
+    /// Passes long values on, as far as there is room on their other side.
+    fn pass_on(&mut self, now: Instant) {
+        for attempt in self.targets.held_up() {
+            let Some(origin) = self.core.stream(attempt) else { continue };
+            let room = self.resp.room(origin);
+            // Not byte by byte.
+            if room >= WINDOW / 2 {
+                self.targets.credit(now, attempt, room);
+            }
+        }
+        // What comes of room that was just made belongs before the ends of attempts.
+        while let Some((attempt, step)) = self.targets.flowing.pop_front() {
+            match step {
+                Flowing::Begun(length) => match self.core.stream_begins(attempt) {
+                    Some(origin) => {
+                        let grant = self.budget.grant(length);
+                        if grant.is_some() {
+                            self.targets.credit(now, attempt, usize::MAX);
+                        }
+                        self.resp.begin(now, origin, length, grant, &mut self.core);
+                    }
+                    None => self.targets.stop(attempt, Outcome::Cancelled),
+                },
+                Flowing::Piece(piece) => {
+                    if let Some(origin) = self.core.stream(attempt) {
+                        self.resp.piece(now, origin, &piece, &mut self.core);
+                    }
+                }
+                Flowing::Moved => {
+                    if let Some(origin) = self.core.origin(attempt.request) {
+                        self.resp.go_on(now, origin.conn, &mut self.core);
+                    }
+                }
+            }
+        }
+    }
+
     fn carry_out(&mut self, now: Instant, effect: Effect) {
         match effect {
+            Effect::Moved { attempt } => self.targets.go_on(now, attempt),
+            Effect::Finish { origin, whole } => self.resp.finish(now, origin, whole, &mut self.core),
             Effect::Answer { origin, answer } => match (Kind::of(origin.conn), &mut self.iscsi) {
                 (Some(Kind::IscsiClient), Some(front)) => front.answer(now, origin, answer, &mut self.core),
                 _ => self.resp.answer(now, origin, answer, &mut self.core),
--- a/src/front/iscsi.rs
+++ b/src/front/iscsi.rs
@@ -411,6 +411,7 @@
             id,
             attributes,
             body: std::mem::take(&mut task.body),
+            flow: None,
             extent: Some(Extent {
                 lun: unit.storage_lun,
                 block: transfer.block,
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -7,6 +7,7 @@
 use crate::clock::Clock;
 use crate::conn::{Conn, ReadEnd};
 use crate::core::{Answer, Content, Core, Origin};
+use crate::flow::{Grant, WINDOW};
 use crate::interface::{NewRequest, RequestId};
 use crate::service::Standing;
 use mio::net::{TcpListener, TcpStream};
@@ -27,8 +28,9 @@
 const MOST_ACCEPTED: usize = 64;
 /// How often the clients are looked through.
 const SWEEP: Duration = Duration::from_millis(100);
-/// A client that has not asked for anything by then, or has not gone on with a command for as long, is closed.
-const SILENCE: Duration = Duration::from_secs(2);
+/// A client that has not asked for anything by then, or whose command has not come any further for as long, is closed.
+/// A head may take two seconds.
+const SILENCE: Duration = Duration::from_millis(2600);
 /// A connection that is to be closed waits this long for its client to read.
 const LAST_WORDS: Duration = Duration::from_secs(1);
 /// A client that does not read what it was sent is closed after this.
@@ -73,6 +75,25 @@
     /// Writes the final answer of the command at a place.
     fn answer(&self, session: &mut Self::Session, place: u64, answer: Answer, output: &mut Vec<u8>);
 
+    /// Begins a long answer of so many bytes.
+    fn begin(&self, _: &mut Self::Session, _place: u64, _length: usize, _output: &mut Vec<u8>) {}
+
+    /// Goes on with it.
+    fn piece(&self, _: &mut Self::Session, _place: u64, _piece: &[u8], _output: &mut Vec<u8>) {}
+
+    /// Ends it.
+    fn finish(&self, _: &mut Self::Session, _place: u64, _output: &mut Vec<u8>) {}
+
+    /// Bytes of answers that wait for those before them.
+    fn kept_back(&self, _: &Self::Session) -> usize {
+        0
+    }
+
+    /// Whether a command has come of which the rest is still to come.
+    fn is_receiving(&self, _: &Self::Session) -> bool {
+        false
+    }
+
     /// Commands that wait for their answers.
     fn open(&self, session: &Self::Session) -> Vec<RequestId>;
 
@@ -137,6 +158,11 @@
         let origin = Origin { conn: self.conn, place };
         self.core.take(origin, new, content).ok_or(Declined::IdInUse)
     }
+
+    /// The last byte of a request's body has come, and its client waits for `patience` from now on.
+    pub fn body_came(&mut self, request: RequestId, patience: Duration) {
+        self.core.body_came(request, self.now + patience.saturating_sub(MARGIN));
+    }
 }
 
 struct Client<S> {
@@ -148,8 +174,11 @@
     read: Instant,
     /// Since when a command is begun that has not come any further.
     partial: Option<Instant>,
-    /// Bytes kept for it, as counted last.
+    /// Bytes kept for it, as counted last, less what was granted for long answers.
     kept: usize,
+    /// Long answers that go on, and what was granted for those not read yet.
+    streams: usize,
+    grants: Vec<Grant>,
     /// It came when there was no room: what it asks for is declined.
     crowded: bool,
     /// The door that it came in by.
@@ -478,6 +507,8 @@
                 read,
                 partial,
                 kept,
+                streams: 0,
+                grants: Vec::new(),
                 crowded,
                 door,
                 sent_away: None,
@@ -506,7 +537,9 @@
         let sheds = self.sheds(now);
         for (id, client) in &self.clients {
             let (protocol, session) = (&self.protocol, &client.session);
-            let (idle, written) = (protocol.is_idle(session), client.conn.unwritten() == 0);
+            // Whoever has begun to ask is not idle, however slowly it goes on.
+            let idle = protocol.is_idle(session) && client.partial.is_none();
+            let written = client.conn.unwritten() == 0;
             let silent = idle && !protocol.has_asked(session) && now - client.since > SILENCE;
             let unread = !written && now - client.read > UNREAD;
             // Whoever was sent away may still have a command on its way, which is to be answered.
@@ -579,7 +612,8 @@
             // Guards against a client that asks without reading: its answers stay bounded.
             client.paused = client.conn.flush().is_ok() && client.conn.unwritten() > MOST_UNREAD;
             // Guards a drain against clients that always have something open: what follows goes to another process.
-            client.paused |= sheds && !self.protocol.is_idle(&client.session);
+            let more = self.protocol.is_receiving(&client.session) || self.protocol.is_idle(&client.session);
+            client.paused |= sheds && !more;
             if client.paused {
                 return;
             }
@@ -602,7 +636,9 @@
             if closing {
                 return self.end(now, id, core);
             }
-            let waits = client.conn.input.is_empty() || self.protocol.is_full(&client.session) || left == 0;
+            // A body that is still to come is waited for like the rest of a command.
+            let rest = !client.conn.input.is_empty() || self.protocol.is_receiving(&client.session);
+            let waits = !rest || self.protocol.is_full(&client.session) || left == 0;
             client.partial = client.partial.filter(|_| at == 0).or(Some(now)).filter(|_| !waits);
             if client.crowded && at > 0 {
                 // Whoever was told to come again leaves the descriptor to the next.
@@ -631,13 +667,80 @@
         self.protocol.answer(&mut client.session, origin.place, answer, &mut output);
         client.conn.push(&output);
         client.used = now;
-        // Who is sent away is not asked for more.
-        if client.paused && self.standing.shed_from.is_none_or(|from| now < from) {
-            self.take_input(now, origin.conn, core);
+        self.go_on(now, origin.conn, core);
+        self.write(now, origin.conn, core);
+    }
+
+    /// A long answer of so many bytes begins; a grant holds it whole.
+    pub fn begin(
+        &mut self,
+        now: Instant,
+        origin: Origin,
+        length: usize,
+        grant: Option<Grant>,
+        core: &mut Core,
+    ) {
+        let Some(client) = self.clients.get_mut(&origin.conn) else { return };
+        client.streams += 1;
+        client.grants.extend(grant);
+        self.pass(now, origin, core, |protocol, session, output| {
+            protocol.begin(session, origin.place, length, output);
+        });
+    }
+
+    /// A long answer goes on.
+    pub fn piece(&mut self, now: Instant, origin: Origin, piece: &[u8], core: &mut Core) {
+        self.pass(now, origin, core, |protocol, session, output| {
+            protocol.piece(session, origin.place, piece, output);
+        });
+    }
+
+    /// A long answer has come to its end. One that is not whole ends the connection: its client can tell by that alone.
+    pub fn finish(&mut self, now: Instant, origin: Origin, whole: bool, core: &mut Core) {
+        let Some(client) = self.clients.get_mut(&origin.conn) else { return };
+        client.streams -= 1;
+        if !whole {
+            core.counters.answers_cut += 1;
+            return self.drop_client(origin.conn, core);
         }
+        self.pass(now, origin, core, |protocol, session, output| {
+            protocol.finish(session, origin.place, output)
+        });
+        self.go_on(now, origin.conn, core);
+    }
+
+    fn pass(
+        &mut self,
+        now: Instant,
+        origin: Origin,
+        core: &mut Core,
+        write: impl FnOnce(&P, &mut P::Session, &mut Vec<u8>),
+    ) {
+        let Some(client) = self.clients.get_mut(&origin.conn) else { return };
+        let mut output = Vec::new();
+        write(&self.protocol, &mut client.session, &mut output);
+        client.conn.push(&output);
+        client.used = now;
         self.write(now, origin.conn, core);
     }
 
+    /// How much more of a long answer a client's connection takes now.
+    pub fn room(&self, origin: Origin) -> usize {
+        let Some(client) = self.clients.get(&origin.conn) else { return 0 };
+        WINDOW.saturating_sub(client.conn.unwritten() + self.protocol.kept_back(&client.session))
+    }
+
+    /// Goes on with a client that waited for room.
+    pub fn go_on(&mut self, now: Instant, id: usize, core: &mut Core) {
+        // Who is sent away is asked for no more than what it has begun.
+        let leaves = self.standing.shed_from.is_some_and(|from| from <= now);
+        let Some(client) = self.clients.get(&id) else { return };
+        if client.paused && (!leaves || self.protocol.is_receiving(&client.session)) {
+            self.take_input(now, id, core);
+            self.write(now, id, core);
+        }
+    }
+
     /// Writes what goes; closes where that is due.
     fn write(&mut self, now: Instant, id: usize, core: &mut Core) {
         let Some(client) = self.clients.get_mut(&id) else { return };
@@ -649,7 +752,12 @@
         if unwritten == 0 || unwritten < before {
             client.read = now;
         }
-        let kept = unwritten + client.conn.input.len();
+        if unwritten == 0 && client.streams == 0 {
+            client.grants.clear();
+        }
+        let granted: usize = client.grants.iter().map(Grant::bytes).sum();
+        let answers = unwritten + self.protocol.kept_back(&client.session);
+        let kept = answers.saturating_sub(granted) + client.conn.input.len();
         self.kept = self.kept + kept - std::mem::replace(&mut client.kept, kept);
         // Guards against a client that goes on asking where it is only sent away.
         let shed = !self.standing.hands_over && self.standing.shed_from.is_some_and(|from| from <= now);
@@ -715,7 +823,8 @@
         };
         let room = Room { easy: 4, clients: 4, crowd: 0, bytes: 1 << 20 };
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let resp = resp::Resp { wire, retry_after: second };
+        let budget = crate::flow::Budget::new(0);
+        let resp = resp::Resp { wire, retry_after: second, budget };
         let mut front =
             Front::new(resp, listen(any).unwrap(), Token(0), poll.registry(), clock, room).unwrap();
         let mut core = Core::new(clock, second);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 mod control;
 mod core;
 pub mod discovery;
+mod flow;
 pub mod forwarder;
 mod front;
 pub mod handover;
--- a/src/resp.rs
+++ b/src/resp.rs
@@ -1,6 +1,6 @@
 //! RESP2: reading whole values off an input that comes in pieces, and writing them.
 
-/// A value of at most this many bytes is accepted in a bulk string.
+/// A value of at most this many bytes is read whole; what is longer is read by its head, and passed through.
 pub const LARGEST_BULK: usize = 64 * 1024;
 /// More elements than any command or answer has.
 const MOST_ELEMENTS: usize = 64;
@@ -63,6 +63,51 @@
     }
 }
 
+/// The beginning of an array, of which the last thing is the head of a bulk string whose bytes follow.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Head {
+    /// Elements of the array.
+    pub elements: usize,
+    /// The bulk strings before that one.
+    pub words: Vec<Vec<u8>>,
+    /// Length of that one.
+    pub length: usize,
+    /// Where its bytes begin.
+    pub start: usize,
+}
+
+/// Reads an array of bulk strings up to the head of the one at a place, counted from 0: nothing while that has not
+/// come, or where the array is of another form.
+pub fn head(input: &[u8], place: usize, largest: usize) -> Result<Option<Head>, String> {
+    let line = |at: usize, kind: u8| -> Result<Option<(&[u8], usize)>, String> {
+        let rest = input.get(at..).unwrap_or_default();
+        if rest.first() != Some(&kind) {
+            return Ok(None);
+        }
+        let Some(end) = rest.iter().take(LONGEST_LINE).position(|byte| *byte == b'\n') else {
+            return Ok(None);
+        };
+        let line = rest[1..end].strip_suffix(b"\r").ok_or("a line ends without CR")?;
+        Ok(Some((line, at + end + 1)))
+    };
+    let Some((count, mut at)) = line(0, b'*')? else { return Ok(None) };
+    let Some(elements) = length(count, MOST_ELEMENTS)?.filter(|elements| *elements > place) else {
+        return Ok(None);
+    };
+    let mut words = Vec::with_capacity(place);
+    for _ in 0..place {
+        match parse_nested(input.get(at..).unwrap_or_default(), false)? {
+            Some((Value::Bulk(Some(word)), length)) => {
+                words.push(word);
+                at += length;
+            }
+            _ => return Ok(None),
+        }
+    }
+    let Some((text, start)) = line(at, b'$')? else { return Ok(None) };
+    Ok(length(text, largest)?.map(|length| Head { elements, words, length, start }))
+}
+
 fn number(line: &[u8]) -> Result<i64, String> {
     let text = std::str::from_utf8(line).map_err(|_| "a number is not text")?;
     // The parser below would take a plus as well.
@@ -132,9 +177,27 @@
         }
     }
 
+    #[test]
+    fn a_head_is_read_before_its_bytes_and_only_in_its_place() {
+        let whole = command(&[b"OBJ.PUT", b"x", &[7; 100]]);
+        let start = whole.len() - 102;
+        for cut in 0..start {
+            assert_eq!(head(&whole[..cut], 2, 100), Ok(None), "cut at {cut}");
+        }
+        let words = vec![b"OBJ.PUT".to_vec(), b"x".to_vec()];
+        assert_eq!(head(&whole[..start], 2, 100), Ok(Some(Head { elements: 3, words, length: 100, start })));
+        assert_eq!(head(&whole, 3, 100), Ok(None), "there is no such place");
+        assert!(head(&whole, 2, 99).is_err(), "too long");
+        assert_eq!(head(b"+OK\r\n", 0, 100), Ok(None));
+        assert_eq!(head(b"*1\r\n$-1\r\n", 0, 100), Ok(None));
+    }
+
     proptest::proptest! {
         #[test]
         fn any_bytes_are_read_or_declined(bytes: Vec<u8>) {
+            if let Ok(Some(head)) = head(&bytes, 2, 100) {
+                proptest::prop_assert!(head.start <= bytes.len());
+            }
             if let Ok(Some((_, length))) = parse(&bytes) {
                 proptest::prop_assert!(length <= bytes.len());
             }
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -9,6 +9,7 @@
 
 use crate::conn::{Conn, Connecting, ReadEnd};
 use crate::core::{AttemptId, Content, Ended};
+use crate::flow::{Flow, WINDOW};
 use crate::interface::{NodeId, Outcome};
 use mio::{Registry, Token};
 use std::collections::{HashMap, VecDeque};
@@ -20,6 +21,10 @@
 const LARGEST_ANSWER: usize = 80 * 1024;
 /// An answer that has begun and does not go on for this long is not going to: its lengths do not fit.
 const STALL: Duration = Duration::from_millis(150);
+/// The same for a long one, and for what a node takes of a long command: peers may need seconds for a piece.
+const LONG_STALL: Duration = Duration::from_secs(5);
+/// How often long values are looked through for those that do not go on.
+const LONG_LOOK: Duration = Duration::from_millis(500);
 /// Part of the targets' idle time after which a connection is closed from this side. A request written to a
 /// connection that the far side has just closed would end as a reset.
 const IDLE_PART: f64 = 0.5;
@@ -49,6 +54,10 @@
     Waiting,
     /// Attempts may begin.
     Ready,
+    /// A long value of so many bytes follows, in pieces.
+    Begun(usize),
+    /// Some of it.
+    Piece(Vec<u8>),
     /// The attempt ended.
     Ended(Ended),
     /// The far side wants the connection to end.
@@ -73,12 +82,22 @@
 impl Wire {
     fn session(&self, number: usize) -> Box<dyn Session> {
         match self {
-            Wire::Resp => Box::new(resp::Session),
+            Wire::Resp => Box::<resp::Session>::default(),
             Wire::Iscsi(name) => Box::new(iscsi::Session::new(name, number)),
         }
     }
 }
 
+/// What happens to a long value.
+pub enum Flowing {
+    /// An answer of so many bytes begins.
+    Begun(usize),
+    /// Some of it came.
+    Piece(Vec<u8>),
+    /// Some of a body went out.
+    Moved,
+}
+
 /// An attempt to be made.
 pub struct Start {
     pub attempt: AttemptId,
@@ -102,12 +121,54 @@
     idle_since: Instant,
     /// Since when an answer is begun that has not come any further.
     partial: Option<Instant>,
+    /// A long body on its way out, and how much of it was put out.
+    body: Option<(Flow, usize)>,
+    /// When something of a long body or answer last went on.
+    moved: Instant,
+    /// When the last byte of a long body left, and how long its answer took to begin.
+    sent: Option<Instant>,
+    took: Option<Duration>,
+    /// Bytes of a long answer that may still be read, once it has begun.
+    credit: Option<usize>,
 }
 
 impl Target {
     /// Whether the attempt's last byte has left.
     fn all_written(&self) -> bool {
-        self.waiting.is_none() && self.session.is_sent() && self.conn.unwritten() == 0
+        self.waiting.is_none() && self.body.is_none() && self.session.is_sent() && self.conn.unwritten() == 0
+    }
+
+    /// Puts out of a long body what there is of it, a piece at a time; true if any of it went.
+    fn write_body(&mut self, now: Instant) -> std::io::Result<bool> {
+        let mut moved = false;
+        while let Some((flow, at)) = &mut self.body {
+            let before = self.conn.unwritten();
+            self.conn.flush()?;
+            moved |= self.conn.unwritten() < before;
+            if self.conn.unwritten() > 0 {
+                break;
+            }
+            let piece = flow.copy(*at, WINDOW);
+            if piece.is_empty() {
+                break;
+            }
+            *at += piece.len();
+            flow.written(*at);
+            self.conn.push(&piece);
+            moved = true;
+            if *at == flow.length() {
+                self.conn.push(b"\r\n");
+                self.body = None;
+            }
+        }
+        self.conn.flush()?;
+        if self.sent.is_none() && self.body.is_none() && self.conn.unwritten() == 0 {
+            self.sent = Some(now);
+        }
+        if moved {
+            self.moved = now;
+        }
+        Ok(moved)
     }
 
     /// Begins the attempt that waits for the session to be ready; false if the wire has no words for it.
@@ -116,6 +177,8 @@
         let mut output = Vec::new();
         let begun = self.session.start(&content, give_up_at.saturating_duration_since(now), &mut output);
         self.conn.push(&output);
+        self.body = content.flow.clone().map(|flow| (flow, 0));
+        (self.moved, self.sent, self.took, self.credit) = (now, None, None, None);
         begun
     }
 }
@@ -133,7 +196,12 @@
     connect_timeout: Duration,
     idle_limit: Duration,
     next_sweep: Instant,
+    next_look: Instant,
     most: usize,
+    /// What has come of long answers, and bodies that went on, since last asked.
+    pub flowing: VecDeque<(AttemptId, Flowing)>,
+    /// Long attempts, to be looked at for those that do not go on.
+    long: Vec<AttemptId>,
     /// Answers that could not be read.
     pub spoilt: u64,
     /// Attempts that ended since last asked.
@@ -149,10 +217,13 @@
             idle: HashMap::new(),
             connecting: VecDeque::new(),
             answering: VecDeque::new(),
+            flowing: VecDeque::new(),
+            long: Vec::new(),
             spoilt: 0,
             connect_timeout,
             idle_limit: conn_idle.mul_f64(IDLE_PART),
             next_sweep: now,
+            next_look: now,
             most,
             ended: Vec::new(),
         }
@@ -168,6 +239,9 @@
         registry: &Registry,
     ) {
         let Start { attempt, node, content, give_up_at } = start;
+        if content.flow.is_some() {
+            self.long.push(attempt);
+        }
         let waiting = Some((content, give_up_at));
         while let Some(id) = self.take_idle(now, node) {
             let Some(target) = self.conns.get_mut(&id) else { continue };
@@ -185,6 +259,8 @@
                 self.end(id, Outcome::Moot);
             } else if target.conn.flush().is_err() {
                 self.end(id, Outcome::Reset);
+            } else {
+                self.go_on(now, attempt);
             }
             return;
         }
@@ -205,6 +281,11 @@
             waiting,
             idle_since: now,
             partial: None,
+            body: None,
+            moved: now,
+            sent: None,
+            took: None,
+            credit: None,
         };
         self.conns.insert(token.0, target);
         self.by_attempt.insert(attempt, token.0);
@@ -302,10 +383,25 @@
         }
         loop {
             let Some(target) = self.conns.get_mut(&id) else { return };
+            if target.body.is_some() {
+                match target.write_body(now) {
+                    Ok(moved) => {
+                        self.flowing.extend(target.attempt.filter(|_| moved).map(|it| (it, Flowing::Moved)))
+                    }
+                    Err(_) => return self.end(id, Outcome::Reset),
+                }
+            }
             if target.conn.flush().is_err() {
                 return self.end(id, Outcome::Reset);
             }
-            let read = target.conn.read(LARGEST_ANSWER);
+            if target.credit == Some(0) {
+                // Guards the memory against a client that is slower than its node.
+                return;
+            }
+            let more = target
+                .credit
+                .map_or(LARGEST_ANSWER, |credit| target.conn.input.len() + credit.min(LARGEST_ANSWER));
+            let read = target.conn.read(more);
             let mut output = Vec::new();
             let step = target.session.input(&mut target.conn.input, &mut output);
             target.conn.shed();
@@ -314,6 +410,25 @@
                 Ok(Step::Waiting) if read == ReadEnd::Closed => return self.end(id, Outcome::Reset),
                 // A session that takes nothing off a full input never will.
                 Ok(Step::Waiting) if target.conn.input.len() >= LARGEST_ANSWER => return self.spoil(id),
+                Ok(Step::Begun(length)) => {
+                    let Some(attempt) = target.attempt else { return self.forget(id) };
+                    // An answer that comes before its command is out belongs to nothing.
+                    if !target.all_written() {
+                        return self.spoil(id);
+                    }
+                    target.took = Some(now - target.sent.unwrap_or(target.moved));
+                    (target.credit, target.moved, target.partial) = (Some(WINDOW), now, None);
+                    self.flowing.push_back((attempt, Flowing::Begun(length)));
+                    self.long.push(attempt);
+                }
+                Ok(Step::Piece(piece)) => {
+                    let Some(attempt) = target.attempt else { return self.forget(id) };
+                    target.credit = target.credit.map(|credit| credit.saturating_sub(piece.len()));
+                    target.moved = now;
+                    self.flowing.push_back((attempt, Flowing::Piece(piece)));
+                }
+                // What is begun of a long answer is looked after with the long ones.
+                Ok(Step::Waiting) if target.credit.is_some() && read == ReadEnd::Blocked => return,
                 Ok(Step::Waiting) if output.is_empty() && read == ReadEnd::Blocked => {
                     let begun = (!target.conn.input.is_empty()).then_some(now);
                     if std::mem::replace(&mut target.partial, begun).is_none() && begun.is_some() {
@@ -349,11 +464,42 @@
         self.end(id, Outcome::Error);
     }
 
+    /// Goes on with a long body of which more has come.
+    pub fn go_on(&mut self, now: Instant, attempt: AttemptId) {
+        if let Some(id) = self.by_attempt.get(&attempt).copied() {
+            if self.conns.get(&id).is_some_and(|target| target.connected && target.body.is_some()) {
+                self.ready(now, id);
+            }
+        }
+    }
+
+    /// Attempts whose long answers wait for their clients.
+    pub fn held_up(&self) -> Vec<AttemptId> {
+        let credit =
+            |attempt: &&AttemptId| self.by_attempt.get(*attempt).and_then(|id| self.conns[id].credit);
+        self.long.iter().filter(|attempt| credit(attempt) == Some(0)).copied().collect()
+    }
+
+    /// So many bytes of a long answer may be read now.
+    pub fn credit(&mut self, now: Instant, attempt: AttemptId, bytes: usize) {
+        let Some(id) = self.by_attempt.get(&attempt).copied() else { return };
+        let Some(target) = self.conns.get_mut(&id) else { return };
+        let waited = target.credit == Some(0);
+        target.credit = Some(bytes);
+        if waited && bytes > 0 {
+            // It was its client that did not go on.
+            target.moved = now;
+            self.ready(now, id);
+        }
+    }
+
     /// An attempt has its answer; the connection is idle unless something is left over on it.
     fn answered(&mut self, now: Instant, id: usize, ended: Ended) {
         let Some(target) = self.conns.get_mut(&id) else { return };
         let clean = target.all_written() && target.conn.input.is_empty();
-        (target.idle_since, target.partial) = (now, None);
+        (target.idle_since, target.partial, target.credit, target.body) = (now, None, None, None);
+        let took = target.took.take().or(target.sent.take().map(|sent| now - sent));
+        let ended = Ended { took, ..ended };
         // An answer that nothing was asked for leaves no attempt to end and no connection to trust.
         let Some(attempt) = target.attempt.take() else { return self.forget(id) };
         self.by_attempt.remove(&attempt);
@@ -391,7 +537,8 @@
     /// When [`Targets::tick`] has something to do.
     pub fn next_timer(&self) -> Instant {
         let queues = [self.connecting.front(), self.answering.front()];
-        queues.into_iter().flatten().fold(self.next_sweep, |next, (at, _)| next.min(*at))
+        let first = if self.long.is_empty() { self.next_sweep } else { self.next_sweep.min(self.next_look) };
+        queues.into_iter().flatten().fold(first, |next, (at, _)| next.min(*at))
     }
 
     /// Ends what was not ready in time and closes what was idle for long.
@@ -413,6 +560,25 @@
                 None => {}
             }
         }
+        if self.next_look <= now {
+            self.next_look = now + LONG_LOOK;
+            let (conns, by_attempt) = (&self.conns, &self.by_attempt);
+            self.long.retain(|attempt| by_attempt.contains_key(attempt));
+            // A node that waits for its client, or for the rest of a body, is not the one that does not go on.
+            let stalled = |target: &Target| {
+                let waits = match &target.body {
+                    Some((flow, at)) => target.conn.unwritten() == 0 && flow.came() == *at,
+                    None => target.credit.is_none_or(|credit| credit == 0) && target.conn.unwritten() == 0,
+                };
+                !waits && now - target.moved > LONG_STALL
+            };
+            let ids = self.long.iter().filter_map(|attempt| by_attempt.get(attempt)).copied();
+            let ids: Vec<usize> = ids.filter(|id| conns.get(id).is_some_and(stalled)).collect();
+            for id in ids {
+                tracing::warn!("a node does not go on with a long value");
+                self.spoil(id);
+            }
+        }
         if self.next_sweep <= now {
             self.next_sweep = now + self.idle_limit / 4;
             let old = |target: &Target| target.attempt.is_none() && now - target.idle_since > self.idle_limit;
--- a/src/target/resp.rs
+++ b/src/target/resp.rs
@@ -2,6 +2,7 @@
 
 use super::Step;
 use crate::core::{Content, Ended, Operation};
+use crate::flow::{LONG, LONGEST};
 use crate::interface::Outcome;
 use crate::resp::{self, Value};
 use std::time::Duration;
@@ -9,8 +10,14 @@
 /// Answers name no request: what a node sends beyond one would be taken for the next one's.
 const REST: Duration = Duration::from_millis(10);
 
-/// A connection has no state of its own: a command goes out whole, and one answer comes.
-pub struct Session;
+/// A short command goes out whole, and one answer comes.
+#[derive(Default)]
+pub struct Session {
+    /// What is still to come of a long value, once its answer has begun.
+    left: Option<usize>,
+    /// Answers may be passed on before they are whole.
+    long: bool,
+}
 
 impl super::Session for Session {
     fn open(&mut self, _: &mut Vec<u8>) -> bool {
@@ -19,6 +26,7 @@
 
     fn start(&mut self, content: &Content, left: Duration, output: &mut Vec<u8>) -> bool {
         output.extend(encode(content, left));
+        self.long = content.extent.is_none();
         true
     }
 
@@ -31,13 +39,47 @@
     }
 
     fn input(&mut self, input: &mut Vec<u8>, _: &mut Vec<u8>) -> Result<Step, String> {
-        Ok(match resp::parse(input)? {
-            None => Step::Waiting,
-            Some((value, length)) => {
-                input.drain(..length);
-                Step::Ended(outcome(value)?)
+        match self.left {
+            // The value is out; what follows it reads as the rest of an array that began with an empty one.
+            Some(0) => {
+                let Some(rest) = input.strip_prefix(b"\r\n") else {
+                    return if input.len() < 2 {
+                        Ok(Step::Waiting)
+                    } else {
+                        Err("a value ends without CRLF".into())
+                    };
+                };
+                let whole = [&b"*3\r\n$0\r\n\r\n"[..], rest].concat();
+                let Some((value, length)) = resp::parse(&whole)? else { return Ok(Step::Waiting) };
+                let used = length - (whole.len() - input.len());
+                input.drain(..used);
+                self.left = None;
+                Ok(Step::Ended(outcome(value)?))
+            }
+            Some(_) if input.is_empty() => Ok(Step::Waiting),
+            Some(left) => {
+                let piece: Vec<u8> = input.drain(..input.len().min(left)).collect();
+                self.left = Some(left - piece.len());
+                Ok(Step::Piece(piece))
+            }
+            None => {
+                let head = resp::head(input, 0, LONGEST).ok().flatten();
+                match head.filter(|head| self.long && head.elements == ELEMENTS && head.length > LONG) {
+                    Some(head) => {
+                        input.drain(..head.start);
+                        self.left = Some(head.length);
+                        Ok(Step::Begun(head.length))
+                    }
+                    None => match resp::parse(input)? {
+                        None => Ok(Step::Waiting),
+                        Some((value, length)) => {
+                            input.drain(..length);
+                            Ok(Step::Ended(outcome(value)?))
+                        }
+                    },
+                }
             }
-        })
+        }
     }
 }
 
@@ -52,7 +94,13 @@
     if content.operation == Operation::Write {
         words.push(&content.body);
     }
-    resp::command(&words)
+    let mut command = resp::command(&words);
+    if let Some(flow) = &content.flow {
+        // The body follows as it comes, in the place of the empty one.
+        command.truncate(command.len() - b"$0\r\n\r\n".len());
+        command.extend_from_slice(format!("${}\r\n", flow.length()).as_bytes());
+    }
+    command
 }
 
 /// A figure on use is below this.
@@ -142,6 +190,42 @@
         }
     }
 
+    #[test]
+    fn a_long_answer_is_passed_on_as_it_comes_and_read_to_its_end_however_it_is_cut() {
+        let value: Vec<u8> = (0..LONG + 1).map(|at| at as u8).collect();
+        let mut answer = b"*3\r\n".to_vec();
+        resp::bulk(&mut answer, &value);
+        answer.extend(b"$14\r\nused=37,cost=4\r\n$-1\r\n");
+        for size in [1, 7, 4096, answer.len()] {
+            let mut session = Session { left: None, long: true };
+            let (mut input, mut steps) = (Vec::new(), Vec::new());
+            for piece in answer.chunks(size) {
+                input.extend(piece);
+                loop {
+                    match super::super::Session::input(&mut session, &mut input, &mut Vec::new()).unwrap() {
+                        Step::Waiting => break,
+                        step => {
+                            let ended = matches!(step, Step::Ended(_));
+                            steps.push(step);
+                            if ended {
+                                break;
+                            }
+                        }
+                    }
+                }
+            }
+            assert!(input.is_empty());
+            assert_eq!(steps.remove(0), Step::Begun(value.len()));
+            let Some(Step::Ended(ended)) = steps.pop() else { panic!("no end") };
+            assert_eq!((ended.outcome, ended.used, ended.elsewhere), (Outcome::Served, Some(0.37), 4.0));
+            let came = steps.into_iter().map(|step| match step {
+                Step::Piece(piece) => piece,
+                other => panic!("{other:?}"),
+            });
+            assert_eq!(came.flatten().collect::<Vec<_>>(), value);
+        }
+    }
+
     #[test]
     fn a_command_passes_unchanged_but_for_the_time_left() {
         let content = Content {
@@ -150,6 +234,7 @@
             id: "9b1f03aa5c7e2d41".into(),
             attributes: "c=write,k=5c".into(),
             body: b"\r\n".to_vec(),
+            flow: None,
             extent: None,
         };
         let words: [&[u8]; 5] =
--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -46,6 +46,8 @@
     pub known: String,
     /// Remote planners, by address.
     pub planners: Vec<SocketAddr>,
+    /// Megabytes that it may use, if not 192.
+    pub memory_mb: u64,
     /// It has a door for operators.
     pub control: bool,
     /// Its `$TMPDIR`, where two processes share one; else a folder of its own.
@@ -160,10 +162,11 @@
         let settings = SETTINGS.replace("DEADLINE", &deadline.to_string());
         let settings = settings.replace("LIMIT", &setup.limit.to_string());
         let settings = settings.replace("HOSTS", &setup.hosts.max(1).to_string());
+        let memory = if setup.memory_mb == 0 { 192 } else { setup.memory_mb };
         let known = if setup.known.is_empty() { "null" } else { &setup.known };
         format!(
             r#"{{"name":"{name}","listen":"{listen}","control":{control},"discovery":"{discovery}",
-             "seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{known},
+             "seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{memory},"sockets":256}},"known":{known},
              "settings":{settings}}}"#
         )
     }
@@ -421,6 +424,29 @@
     }
 }
 
+/// A RESP2 value of any length.
+pub fn parse(input: &[u8]) -> Option<(Value, usize)> {
+    let (kind, end) = (*input.first()?, input.windows(2).position(|pair| pair == b"\r\n")?);
+    let count = || std::str::from_utf8(&input[1..end]).unwrap().parse::<i64>().unwrap();
+    match kind {
+        b'$' if count() >= 0 => {
+            let (start, length) = (end + 2, count() as usize);
+            let bytes = input.get(start..start + length + 2)?;
+            Some((Value::Bulk(Some(bytes[..length].to_vec())), start + length + 2))
+        }
+        b'*' if count() >= 0 => {
+            let (mut values, mut at) = (Vec::new(), end + 2);
+            for _ in 0..count() {
+                let (value, length) = parse(&input[at..])?;
+                values.push(value);
+                at += length;
+            }
+            Some((Value::Array(Some(values)), at))
+        }
+        _ => resp::parse(input).expect("RESP2"),
+    }
+}
+
 /// What a stand-in node does with a command.
 pub enum Reply {
     Value(Vec<u8>),
@@ -542,7 +568,7 @@
 
     /// The next value, or nothing at the end of the connection.
     pub fn try_receive(&mut self) -> Option<Value> {
-        take(&mut self.stream, &mut self.input, |input| resp::parse(input).expect("RESP2"))
+        take(&mut self.stream, &mut self.input, parse)
     }
 
     /// A part's report.
--- a/tests/net/resp.rs
+++ b/tests/net/resp.rs
@@ -520,3 +520,46 @@
     assert!(start.elapsed() < Duration::from_millis(2000), "before they were idle for long");
     drop(clients);
 }
+
+/// A body whose bytes tell their places.
+fn pattern(length: usize) -> Vec<u8> {
+    (0..length).map(|at| (at % 251) as u8).collect()
+}
+
+#[test]
+fn long_values_pass_whole_both_ways_and_more_at_once_than_the_budget_holds() {
+    let node = Node::start(|_, words| {
+        Reply::Value(words.get(4).cloned().unwrap_or_else(|| pattern(4 * 1024 * 1024)))
+    });
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, Setup { memory_mb: 24, ..Setup::default() });
+    let clients: Vec<_> = (0..12)
+        .map(|number| {
+            let address = program.resp;
+            thread::spawn(move || {
+                let mut client = Client::connect(address);
+                let body = pattern(4 * 1024 * 1024 - number);
+                let writes = number % 2 == 0;
+                client.ask(number as u64, -1, "", writes.then_some(&body[..]));
+                // Slow to read: what is not passed on piles up somewhere.
+                thread::sleep(Duration::from_millis(300));
+                let expected = if writes { body } else { pattern(4 * 1024 * 1024) };
+                match client.receive() {
+                    Value::Bulk(Some(value)) => {
+                        assert!(value == expected, "client {number} got another value")
+                    }
+                    other => panic!("client {number}: {other:?}"),
+                }
+            })
+        })
+        .collect();
+    // A short request does not wait behind them.
+    let start = Instant::now();
+    let mut client = Client::connect(program.resp);
+    client.send(&[b"PING"]);
+    assert_eq!(client.receive(), Value::Simple(b"PONG".to_vec()));
+    assert!(start.elapsed() < Duration::from_millis(500), "{:?}", start.elapsed());
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    assert!(program.memory_kb() < 24 * 1024, "{} kB", program.memory_kb());
+    program.wait_for_info("long_value_bytes:0");
+}
