Values slow on their way hold no place at a node; pieces are read where they were served

Ruled out: the node's queue (turned away with 0 to 5 out from all hosts), latency (30 ms once transfers are left out), connections (reused ones). Lines at fault: has_room, which counted such attempts and after a failure wanted none out at all; core, which took transfers for latency. Seen as well: 294 attempts turned away at once, all of them reads whose clients take their time and name another shard than the one that served the write; each of them pauses its node and halves its depth.

Change: an attempt whose body or answer does not go through in one go is told to the module as streaming, and holds no slot; transfers do not count as latency; src/placement.rs remembers, bounded, which shard served a piece.

--- a/src/core.rs
+++ b/src/core.rs
@@ -70,15 +70,15 @@
     pub elsewhere: f64,
     /// The value, where it was served and is not long.
     pub value: Vec<u8>,
-    /// From the last byte of the command to the first of the answer, where one of them is long: the time that peers
-    /// take to read and write is not the node's.
-    pub took: Option<Duration>,
+    /// For how long a body went out and the answer came in: the time that peers take to read and write is no sign of
+    /// the node's load.
+    pub transfer: Duration,
 }
 
 impl Ended {
     /// An end that no answer came with.
     pub fn bare(outcome: Outcome) -> Self {
-        Ended { outcome, used: None, elsewhere: 0.0, value: Vec::new(), took: None }
+        Ended { outcome, used: None, elsewhere: 0.0, value: Vec::new(), transfer: Duration::ZERO }
     }
 }
 
@@ -212,6 +212,8 @@
 struct Open {
     origin: Origin,
     content: Rc<Content>,
+    /// The piece of data; 0: none.
+    key: u64,
     deadline: Instant,
     attempts: Vec<Attempt>,
     answered: bool,
@@ -307,9 +309,11 @@
         self.timers.push(Reverse((deadline + OVERDUE, Timer::Overdue(id))));
         self.held_bytes += content.body.len();
         let content = Rc::new(content);
+        let key = new.key;
         let open = Open {
             origin,
             content,
+            key,
             deadline,
             attempts: Vec::new(),
             answered: false,
@@ -342,12 +346,26 @@
         Some(open.origin)
     }
 
+    /// What an attempt says, or is told, is on its way and takes its time: the node waits for it, or has done its work.
+    /// Guards all others for the same node, which would wait behind it.
+    pub fn takes_time(&mut self, attempt: AttemptId) {
+        if self.is_running(attempt) {
+            self.events.push(Event::StreamStarted { id: attempt.request });
+        }
+    }
+
     /// Where the answer of an attempt goes that has begun.
     pub fn stream(&self, attempt: AttemptId) -> Option<Origin> {
         let open = self.requests.get(&attempt.request)?;
         (open.streams == Some(attempt.number)).then_some(open.origin)
     }
 
+    /// What an attempt asks for, and at which node.
+    pub fn piece(&self, attempt: AttemptId) -> Option<(u64, NodeId)> {
+        let open = self.requests.get(&attempt.request)?;
+        open.attempts.get(attempt.number as usize).map(|it| (open.key, it.node))
+    }
+
     /// Where a request came from.
     pub fn origin(&self, id: RequestId) -> Option<Origin> {
         self.requests.get(&id).map(|open| open.origin)
@@ -376,6 +394,7 @@
     pub fn client_gone(&mut self, id: RequestId) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         if let Some(number) = open.streams.take() {
+            // The planner withdraws nothing that has begun.
             let attempt = AttemptId { request: id, number };
             self.effects.push(Effect::Stop { attempt, outcome: Outcome::Cancelled });
         }
@@ -399,7 +418,7 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(it) = open.attempts.get_mut(attempt.number as usize).filter(|it| it.running) else { return };
         it.running = false;
-        let (node, latency) = (it.node, ended.took.unwrap_or(now - it.sent));
+        let (node, latency) = (it.node, (now - it.sent).saturating_sub(ended.transfer));
         let streams = open.streams.take_if(|number| *number == attempt.number).is_some();
         let gone = open.content.flow.as_ref().is_some_and(|flow| !flow.is_repeatable());
         open.ran |= may_have_run(ended.outcome);
@@ -468,10 +487,6 @@
         tracing::trace!(id = id.0, node = node.0, number = attempt.number, "attempt begins");
         self.timers.push(Reverse((give_up_at, Timer::GiveUp(attempt))));
         let content = open.content.clone();
-        if content.flow.is_some() {
-            // Guards a body that takes its time against being withdrawn for it.
-            self.events.push(Event::StreamStarted { id });
-        }
         self.effects.push(Effect::Start { attempt, node, content, give_up_at });
     }
 
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -189,7 +189,8 @@
                 let came = flow.came();
                 let count = flow.room().min(*read);
                 flow.push(&body[came..came + count]);
-                prop_assert!(flow.0.borrow().held.len() <= if granted { length } else { WINDOW });
+                let most = if granted { length } else { WINDOW };
+                prop_assert!(flow.0.borrow().held.len() <= most);
                 let bytes = flow.copy(out.len(), *write);
                 out.extend(&bytes);
                 flow.written(out.len());
--- a/src/forwarder.rs
+++ b/src/forwarder.rs
@@ -4,12 +4,13 @@
 use crate::config::{Config, Files};
 use crate::control::door::{self, Door};
 use crate::control::Call;
-use crate::core::{Core, Effect, Ended};
+use crate::core::{AttemptId, Core, Effect, Ended};
 use crate::discovery::{Discovery, News};
 use crate::flow::{Budget, WINDOW};
 use crate::front::{iscsi, listen, resp, Front, Room};
 use crate::interface::{Event, ListKind, Outcome};
 use crate::membership::Membership;
+use crate::placement::Placement;
 use crate::planner::client::{self, Planners};
 use crate::planner::Planner;
 use crate::process::{self, Signals};
@@ -75,6 +76,7 @@
     targets: Targets,
     discovery: Discovery,
     nodes: Membership,
+    placement: Placement,
     /// Addresses that move between machines.
     addresses: Option<Addresses>,
     /// Where operators call.
@@ -205,6 +207,7 @@
                 (config.settings.hosts, config.seed),
             ),
             nodes,
+            placement: Placement::default(),
             addresses: None,
             door,
             door_given: false,
@@ -619,9 +622,12 @@
         let iscsi = self.iscsi.as_ref().map_or((0, 0), |front| (front.len(), front.kept()));
         self.core.counters.answers_spoilt = self.targets.spoilt;
         self.core.sizes.clear();
-        self.core
-            .sizes
-            .extend([("clients", self.resp.len() + iscsi.0), ("client_bytes", self.resp.kept() + iscsi.1)]);
+        self.core.sizes.extend([
+            ("clients", self.resp.len() + iscsi.0),
+            ("client_bytes", self.resp.kept() + iscsi.1),
+            ("long_value_bytes", self.budget.granted()),
+            ("pieces_placed", self.placement.len()),
+        ]);
         self.core.sizes.extend(self.nodes.sizes());
         self.core.sizes.extend(self.targets.sizes());
     }
@@ -638,6 +644,7 @@
         loop {
             self.pass_on(now);
             for (attempt, ended) in std::mem::take(&mut self.targets.ended) {
+                self.learn_place(attempt, ended.outcome);
                 self.core.attempt_ended(now, attempt, ended);
             }
             let effects = self.core.drain_effects();
@@ -646,6 +653,11 @@
                 if events.is_empty() {
                     return;
                 }
+                for event in &mut events {
+                    if let Event::Request(new) = event {
+                        new.shard = self.placement.shard(new.key, new.shard);
+                    }
+                }
                 // What may be used now comes before what asks for it.
                 let shares = self.planners.as_mut().and_then(|planners| planners.before(now, &events));
                 events.splice(0..0, shares);
@@ -658,6 +670,17 @@
         }
     }
 
+    /// Nodes show where pieces lie by serving them, and by turning them away.
+    fn learn_place(&mut self, attempt: AttemptId, outcome: Outcome) {
+        let Some((key, node)) = self.core.piece(attempt) else { return };
+        let Some(shard) = self.nodes.shard(node) else { return };
+        match outcome {
+            Outcome::Served => self.placement.served(key, shard),
+            Outcome::Full => self.placement.turned_away(key, shard),
+            _ => {}
+        }
+    }
+
     /// Passes long values on, as far as there is room on their other side.
     fn pass_on(&mut self, now: Instant) {
         for attempt in self.targets.held_up() {
@@ -686,6 +709,7 @@
                         self.resp.piece(now, origin, &piece, &mut self.core);
                     }
                 }
+                Flowing::Slow => self.core.takes_time(attempt),
                 Flowing::Moved => {
                     if let Some(origin) = self.core.origin(attempt.request) {
                         self.resp.go_on(now, origin.conn, &mut self.core);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -556,6 +556,7 @@
                 && (away
                     || (sheds && client.since + SILENT_BEFORE_SHED < now)
                     || (!self.standing.keeps_idle
+                        && protocol.has_asked(session)
                         && protocol.makes_room(session)
                         && now - client.used > IDLE))
             {
@@ -615,6 +616,8 @@
             let more = self.protocol.is_receiving(&client.session) || self.protocol.is_idle(&client.session);
             client.paused |= sheds && !more;
             if client.paused {
+                // It is not the one that does not go on.
+                client.partial = None;
                 return;
             }
             let end = client.conn.read(MOST_INPUT);
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -250,6 +250,11 @@
         since.iter().flatten().all(|since| now < *since + grace).then_some(&known.endpoint)
     }
 
+    /// The shard that a node holds.
+    pub fn shard(&self, node: NodeId) -> Option<u32> {
+        self.known.get(&node).map(|known| known.line.shard)
+    }
+
     /// Nodes that may be used.
     pub fn ready(&self) -> usize {
         let banned = |node: &NodeId| self.bans.keys().any(|name| self.ids.get(name) == Some(node));
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,81 @@
+//! Where pieces lie, as nodes have shown by serving them. A client may name a shard that it has made up or that is out of
+//! date; a node turns away what lies elsewhere, however little it has to do. Bounded, and no I/O.
+
+use std::collections::{HashMap, VecDeque};
+
+/// Pieces remembered, the last to be served.
+const MOST: usize = 16 * 1024;
+
+/// Pieces by key, with the shard that holds them.
+#[derive(Default)]
+pub struct Placement {
+    shards: HashMap<u64, u32>,
+    /// Keys in the order they came in.
+    order: VecDeque<u64>,
+}
+
+impl Placement {
+    /// A node of a shard has served a piece; 0 names none.
+    pub fn served(&mut self, key: u64, shard: u32) {
+        if key == 0 {
+            return;
+        }
+        if self.shards.insert(key, shard).is_none() {
+            self.order.push_back(key);
+        }
+        // Guards the memory against a day on which pieces are always new.
+        while self.order.len() > MOST {
+            self.order.pop_front().map(|oldest| self.shards.remove(&oldest));
+        }
+    }
+
+    /// A node of a shard has turned a piece away: nothing is known of it any more that led there.
+    pub fn turned_away(&mut self, key: u64, shard: u32) {
+        if self.shards.get(&key) == Some(&shard) {
+            self.shards.remove(&key);
+            self.order.retain(|other| *other != key);
+        }
+    }
+
+    /// The shard of a piece that a client says is on this one; new ones are on none.
+    pub fn shard(&self, key: u64, named: Option<u32>) -> Option<u32> {
+        named.map(|named| self.shards.get(&key).copied().unwrap_or(named))
+    }
+
+    /// Pieces remembered.
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_piece_is_looked_for_where_it_was_served_until_it_is_turned_away_there() {
+        let mut placement = Placement::default();
+        assert_eq!(placement.shard(7, Some(0)), Some(0));
+        placement.served(7, 2);
+        assert_eq!((placement.shard(7, Some(0)), placement.shard(7, None)), (Some(2), None));
+        placement.turned_away(7, 0);
+        assert_eq!(placement.shard(7, Some(0)), Some(2), "that it is not elsewhere was known");
+        placement.turned_away(7, 2);
+        assert_eq!((placement.shard(7, Some(0)), placement.len()), (Some(0), 0));
+    }
+
+    proptest::proptest! {
+        #[test]
+        fn what_is_remembered_is_bounded_and_the_last_that_was_seen(seen: Vec<(u64, u32)>) {
+            let mut placement = Placement::default();
+            for key in 1..=MOST as u64 + 9 {
+                placement.served(key, 1);
+            }
+            for (key, shard) in seen {
+                placement.served(key, shard);
+                proptest::prop_assert!(key == 0 || placement.shard(key, Some(0)) == Some(shard));
+                proptest::prop_assert!(placement.len() <= MOST && placement.shards.len() == placement.len());
+            }
+        }
+    }
+}
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Clock;
 use crate::interface::{Action, Event, Settings};
-use crate::rules::Carried;
+use crate::rules::carry::Carried;
 use crate::Scheduler;
 use std::time::Instant;
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,9 +3,8 @@
 //! Order of this file: constants, state, event intake, the three layers of the design (class controller,
 //! arbiter, node allocator), dispatch, rule guards, health. docs/design.md says what was kept and changed.
 
-mod carry;
+pub mod carry;
 
-pub use self::carry::Carried;
 use crate::interface::*;
 use crate::quantity::{Fading, Store};
 use crate::random::Random;
@@ -672,7 +671,7 @@
             node.cold.fill(self.now, cold_rate, 0.0);
             node.cold.level -= new.units;
         }
-        request.attempts += 1;
+        (request.attempts, request.streaming) = (request.attempts + 1, false);
         request.out = Some((node_id, self.now));
         node.out.insert(id, Out { sent: self.now, class: new.class, units: new.units });
         node.last_key = new.key;
@@ -878,14 +877,15 @@
 // ---------------------------------------------------------------- health
 
 impl Scheduler {
-    /// Whether a node may be sent another request. Attempts that were overtaken hold no slot; while one is
-    /// overdue and not overtaken the node gets single requests at doubling pauses; after failures one at a
-    /// time. Guards against silence of all kinds and lost answers (i8370b0). Long pauses cost depth.
+    /// Whether a node may be sent another request. Attempts overtaken, or slow on the wire, hold no slot; beside
+    /// overdue ones it gets single ones at doubling pauses, after failures one at a time (silence, i8370b0).
     fn has_room(&self, node: &Node) -> bool {
+        let slow = |id: &RequestId| self.requests.get(id).is_some_and(|request| request.streaming);
+        let mut out = node.out.iter().filter(|(id, _)| !slow(id)).map(|(_, out)| out);
         if node.failures > 1 {
-            return node.out.is_empty();
+            return out.next().is_none();
         }
-        let held_up = node.out.values().filter(|out| !self.overtaken(node, out));
+        let held_up = out.filter(|out| !self.overtaken(node, out));
         let (overdue, live): (Vec<&Out>, Vec<&Out>) = held_up.partition(|out| self.overdue(node, out));
         let Some(newest) = overdue.iter().map(|out| out.sent).max() else {
             return (live.len() as f64) < node.depth.floor().max(1.0);
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -96,6 +96,8 @@
     Piece(Vec<u8>),
     /// Some of a body went out.
     Moved,
+    /// A body or an answer does not go through in one go.
+    Slow,
 }
 
 /// An attempt to be made.
@@ -125,9 +127,12 @@
     body: Option<(Flow, usize)>,
     /// When something of a long body or answer last went on.
     moved: Instant,
-    /// When the last byte of a long body left, and how long its answer took to begin.
-    sent: Option<Instant>,
-    took: Option<Duration>,
+    /// When the attempt was begun, how long its body took to go out, and when its answer began that was not whole.
+    begun: Instant,
+    sending: Option<Duration>,
+    answering: Option<Instant>,
+    /// It was told that the attempt takes its time.
+    slow: bool,
     /// Bytes of a long answer that may still be read, once it has begun.
     credit: Option<usize>,
 }
@@ -162,8 +167,8 @@
             }
         }
         self.conn.flush()?;
-        if self.sent.is_none() && self.body.is_none() && self.conn.unwritten() == 0 {
-            self.sent = Some(now);
+        if self.sending.is_none() && self.body.is_none() && self.conn.unwritten() == 0 {
+            self.sending = Some(now - self.begun);
         }
         if moved {
             self.moved = now;
@@ -178,7 +183,8 @@
         let begun = self.session.start(&content, give_up_at.saturating_duration_since(now), &mut output);
         self.conn.push(&output);
         self.body = content.flow.clone().map(|flow| (flow, 0));
-        (self.moved, self.sent, self.took, self.credit) = (now, None, None, None);
+        (self.begun, self.moved, self.slow) = (now, now, false);
+        (self.sending, self.answering, self.credit) = (None, None, None);
         begun
     }
 }
@@ -283,8 +289,10 @@
             partial: None,
             body: None,
             moved: now,
-            sent: None,
-            took: None,
+            begun: now,
+            sending: None,
+            answering: None,
+            slow: false,
             credit: None,
         };
         self.conns.insert(token.0, target);
@@ -390,6 +398,9 @@
                     }
                     Err(_) => return self.end(id, Outcome::Reset),
                 }
+                if target.sending.is_none() && !std::mem::replace(&mut target.slow, true) {
+                    self.flowing.extend(target.attempt.map(|attempt| (attempt, Flowing::Slow)));
+                }
             }
             if target.conn.flush().is_err() {
                 return self.end(id, Outcome::Reset);
@@ -416,7 +427,7 @@
                     if !target.all_written() {
                         return self.spoil(id);
                     }
-                    target.took = Some(now - target.sent.unwrap_or(target.moved));
+                    target.answering.get_or_insert(now);
                     (target.credit, target.moved, target.partial) = (Some(WINDOW), now, None);
                     self.flowing.push_back((attempt, Flowing::Begun(length)));
                     self.long.push(attempt);
@@ -434,6 +445,10 @@
                     if std::mem::replace(&mut target.partial, begun).is_none() && begun.is_some() {
                         self.answering.push_back((now + STALL, id));
                     }
+                    target.answering = target.answering.or(begun);
+                    if begun.is_some() && !std::mem::replace(&mut target.slow, true) {
+                        self.flowing.extend(target.attempt.map(|attempt| (attempt, Flowing::Slow)));
+                    }
                     return;
                 }
                 Ok(Step::Waiting) => {}
@@ -498,8 +513,8 @@
         let Some(target) = self.conns.get_mut(&id) else { return };
         let clean = target.all_written() && target.conn.input.is_empty();
         (target.idle_since, target.partial, target.credit, target.body) = (now, None, None, None);
-        let took = target.took.take().or(target.sent.take().map(|sent| now - sent));
-        let ended = Ended { took, ..ended };
+        let answering = target.answering.take().map_or(Duration::ZERO, |since| now - since);
+        let ended = Ended { transfer: target.sending.take().unwrap_or_default() + answering, ..ended };
         // An answer that nothing was asked for leaves no attempt to end and no connection to trust.
         let Some(attempt) = target.attempt.take() else { return self.forget(id) };
         self.by_attempt.remove(&attempt);
--- a/src/upgrade/frame.rs
+++ b/src/upgrade/frame.rs
@@ -1,7 +1,7 @@
 //! What two processes of one initiator say to each other. All of it is bounded by the length of a frame.
 
 use crate::membership;
-use crate::rules;
+use crate::rules::carry;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -34,7 +34,7 @@
     /// Version of the node list.
     pub list: Option<u64>,
     /// What its scheduler has learned, unless that is too much.
-    pub scheduler: Option<rules::Carried>,
+    pub scheduler: Option<carry::Carried>,
     /// Descriptors and bytes of memory that it holds.
     pub holds: (usize, usize),
 }
--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -457,6 +457,8 @@
     Last(&'static [u8]),
     /// The value, and a moment later a second copy.
     Twice(Vec<u8>),
+    /// The value in pieces, with this pause before each of four.
+    Slow(Vec<u8>, Duration),
 }
 
 /// A stand-in RESP2 node, which remembers the commands it was sent.
@@ -485,6 +487,13 @@
                         thread::sleep(Duration::from_millis(3));
                         client.write(&served(&value));
                     }
+                    Reply::Slow(value, pause) => {
+                        let answer = served(&value);
+                        for piece in answer.chunks(answer.len() / 4 + 1) {
+                            client.write(piece);
+                            thread::sleep(pause);
+                        }
+                    }
                     Reply::Last(bytes) => {
                         client.write(bytes);
                         if client.try_receive().is_some() {
--- a/tests/net/upgrade.rs
+++ b/tests/net/upgrade.rs
@@ -34,6 +34,7 @@
 
     fn start(&self, discovery: &Discovery) -> Program {
         let program = Program::spawn(discovery, self.setup());
+        discovery.wait_for_watch();
         eventually("it is ready", || program.call("ready").starts_with("200 ").then_some(()));
         program
     }
