--- a/src/flow.rs
+++ b/src/flow.rs
@@ -184,7 +184,7 @@
             let budget = Budget::new(300_000);
             let grant = granted.then(|| budget.grant(length).unwrap());
             let (flow, body) = (Flow::new(length, grant), (0..length).map(|at| (at % 251) as u8).collect::<Vec<_>>());
-            let mut out = Vec::new();
+            let mut out: Vec<u8> = Vec::new();
             for (read, write) in pieces.iter().cycle().take(10_000) {
                 let came = flow.came();
                 let count = flow.room().min(*read);
