Slow clients are not the first to make room, and after SIGTERM who made requests stays

Ruled out: PING's answer after SIGTERM (same with a yes), the listener (open to the end). Cause of the first: close_an_idle_one took whoever never asked before whoever is idle, and a pause of 116 ms within a head for silence. Cause of the second: newcomers that never ask, and PING's own connections, each closed an idle client that could not come again.

Change: idle clients that have asked go first, then silent ones, then those that stalled for 600 ms within a command, the latter two only where there is no room at all; after SIGTERM who has made a request stays.

--- a/src/control/door.rs
+++ b/src/control/door.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 /// Callers at a time. Beyond it the one that has come first makes room: it is the slowest.
-const MOST_CALLERS: usize = 16;
+const MOST_CALLERS: usize = 8;
 /// Callers accepted in one turn of the loop.
 const MOST_ACCEPTED: usize = 64;
 /// A caller that has not said a whole call by then is told so.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -49,6 +49,8 @@
 /// accepted a moment ago may only not be read yet.
 const IDLE_BEFORE_ROOM: Duration = Duration::from_millis(250);
 const SILENT_BEFORE_ROOM: Duration = Duration::from_millis(50);
+/// One that has begun to ask, and of whom nothing has come for this long.
+const STALLED_BEFORE_ROOM: Duration = Duration::from_millis(600);
 /// While clients are sent away, one that never asked for anything is given this long to do so.
 const SILENT_BEFORE_SHED: Duration = Duration::from_millis(1000);
 /// The answer goes out this long before the client stops waiting. Guards against a busy machine on either side.
@@ -100,6 +102,11 @@
     /// Whether the client has ever said what it came for.
     fn has_asked(&self, session: &Self::Session) -> bool;
 
+    /// Whether the client has ever made a request: others only look whether this process is there.
+    fn has_requested(&self, session: &Self::Session) -> bool {
+        self.has_asked(session)
+    }
+
     /// Whether the session waits for answers before it takes more.
     fn is_full(&self, _: &Self::Session) -> bool {
         false
@@ -314,7 +321,8 @@
         // Guards whoever the kernel has let in already: closing the listener would end them without an answer.
         for _ in 0..MOST_WAITING {
             // The descriptors of attempts that are out are not theirs.
-            if self.clients.len() >= self.room.clients + self.room.crowd && !self.close_an_idle_one(now) {
+            if self.clients.len() >= self.room.clients + self.room.crowd && !self.close_an_idle_one(now, true)
+            {
                 break;
             }
             let accepted = self.doors[door].listener.as_ref().map(TcpListener::accept);
@@ -460,7 +468,7 @@
             let mut left = MOST_ACCEPTED;
             while left > 0 {
                 left -= 1;
-                while self.clients.len() >= self.room.clients && self.close_an_idle_one(now) {}
+                while self.clients.len() >= self.room.clients && self.close_an_idle_one(now, true) {}
                 if self.clients.len() >= self.room.clients + self.room.crowd {
                     self.accept_at = Some(now + ROOM_PAUSE);
                     return;
@@ -519,12 +527,22 @@
         }
     }
 
-    fn close_an_idle_one(&mut self, now: Instant) -> bool {
+    /// Closes the client that makes room most easily, if any has to: first who has asked and is idle, and can come again
+    /// at no cost; then, where there is no room at all, who never said anything; then who has begun to and does not go
+    /// on. Guards those who take their time against those who never finish.
+    fn close_an_idle_one(&mut self, now: Instant, no_room: bool) -> bool {
         let idle = self.clients.iter().filter_map(|(id, client)| {
-            let asked = self.protocol.has_asked(&client.session);
-            let pause = if asked { IDLE_BEFORE_ROOM } else { SILENT_BEFORE_ROOM };
-            let waits = now - client.used < pause || client.conn.unwritten() > 0;
-            (!waits && self.protocol.makes_room(&client.session)).then_some((asked, client.used, *id))
+            let (asked, begun) = (self.protocol.has_asked(&client.session), client.partial.is_some());
+            let (rank, pause) = match (asked, begun) {
+                (_, true) => (2, STALLED_BEFORE_ROOM),
+                (true, _) => (0, IDLE_BEFORE_ROOM),
+                (false, _) => (1, SILENT_BEFORE_ROOM),
+            };
+            // Whoever cannot come again stays: after SIGTERM only others knock.
+            let stays = self.standing.keeps_idle && rank == 0 && self.protocol.has_requested(&client.session);
+            let waits =
+                now - client.used < pause || client.conn.unwritten() > 0 || (rank > 0 && !no_room) || stays;
+            (!waits && self.protocol.makes_room(&client.session)).then_some((rank, client.used, *id))
         });
         let first = idle.min();
         first.is_some_and(|(_, _, id)| self.remove(id).is_some())
@@ -566,9 +584,10 @@
         dropped.into_iter().for_each(|id| self.drop_client(id, core));
         // Guards against clients that each keep a connection and may hold only so many: the next request would find
         // none. Whoever is idle comes back on a new one.
-        while !self.standing.keeps_idle && self.clients.len() > self.room.easy && self.close_an_idle_one(now)
-        {
-        }
+        while !self.standing.keeps_idle
+            && self.clients.len() > self.room.easy
+            && self.close_an_idle_one(now, false)
+        {}
         for id in ended {
             self.end(now, id, core);
             self.write(now, id, core);
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -32,6 +32,8 @@
 pub struct Session {
     pending: VecDeque<Pending>,
     next_place: u64,
+    /// A request was among its commands.
+    requested: bool,
     /// The body of the last command, of which not all has come.
     receiving: Option<Receiving>,
 }
@@ -98,6 +100,7 @@
                     (Some(length), None, Some(text))
                 }
                 Ok(Command::Request { new, patience, content }) => {
+                    session.requested = true;
                     match intake.take(place, new, patience, *content) {
                         Ok(request) => (Some(length), Some(request), None),
                         Err(why) => (Some(length), None, Some(self.declined(why))),
@@ -143,6 +146,10 @@
         session.next_place > 0
     }
 
+    fn has_requested(&self, session: &Session) -> bool {
+        session.requested
+    }
+
     fn begin(&self, session: &mut Session, place: u64, length: usize, output: &mut Vec<u8>) {
         if let Some(pending) = session.pending.iter_mut().find(|pending| pending.place == place) {
             pending.answer = Some(format!("${length}\r\n").into_bytes());
@@ -210,6 +217,7 @@
         let (mut patience, mut command) = (Duration::ZERO, None);
         match read_command(Value::Array(Some(words)), &self.wire) {
             Ok(Command::Request { new, patience: waits, mut content }) => {
+                session.requested = true;
                 content.flow = Some(flow.clone());
                 (patience, command) = (waits, Some(Box::new((new, *content))));
                 intake.core.counters.bodies_long += u64::from(head.length > LONG);
