--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -72,10 +72,11 @@
     }
 
     /// For the fronts. A process that was replaced says yes for the one in its place: who asks it on an open
-    /// connection asks about the address.
+    /// connection asks about the address. One that is to end takes whoever still comes: each connection that is open by
+    /// then is served for as long as the process lasts.
     pub fn standing(&self) -> Standing {
         Standing {
-            yes: self.drained.is_none() && (self.ending.is_none() || self.is_replaced()),
+            yes: self.drained.is_none(),
             keeps_idle: self.ending.is_some() && self.drained.is_none() && !self.is_replaced(),
             shed_from: self.replaced.or(self.drained.map(|since| since + SHED_AFTER)),
             hands_over: self.is_replaced(),
@@ -202,7 +203,7 @@
                 }
                 let (phase, standing) = (state.phase(), state.standing());
                 prop_assert_eq!(phase == Phase::Ending, ended);
-                prop_assert!(!standing.yes || replaced || matches!(phase, Phase::Serving | Phase::Starting));
+                prop_assert!(standing.yes != state.is_drained() && (phase != Phase::Drained || !standing.yes));
                 prop_assert!(!standing.keeps_idle || (ended && !replaced), "only a plain end keeps idle clients");
                 prop_assert_eq!(standing.hands_over, replaced);
             }
