A request turned away again tells nothing of its node; half a body is given up at once

A client that goes away within a long body left its attempt out for up to 20 s: core stops it at once.

--- a/src/core.rs
+++ b/src/core.rs
@@ -393,10 +393,15 @@
     /// The client of a request no longer waits. Nothing is answered any more.
     pub fn client_gone(&mut self, id: RequestId) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        if let Some(number) = open.streams.take() {
-            // The planner withdraws nothing that has begun.
-            let attempt = AttemptId { request: id, number };
-            self.effects.push(Effect::Stop { attempt, outcome: Outcome::Cancelled });
+        // The planner withdraws nothing that has begun: neither an answer that nobody reads any more, nor a command
+        // whose rest will not come.
+        let half = open.content.flow.as_ref().is_some_and(|flow| !flow.is_complete());
+        let streams = open.streams.take();
+        for number in 0..open.attempts.len() as u32 {
+            if half || streams == Some(number) {
+                let attempt = AttemptId { request: id, number };
+                self.effects.push(Effect::Stop { attempt, outcome: Outcome::Cancelled });
+            }
         }
         if open.answered {
             return;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -94,7 +94,6 @@
     entry: NodeEntry,
     /// While it drains: until when it still gets what no other node holds.
     drain_end: Duration,
-    /// Attempts out.
     out: BTreeMap<RequestId, Out>,
     /// Send time of the latest-sent attempt that was answered.
     answered: Duration,
@@ -169,7 +168,6 @@
     classes: Vec<ClassControl>,
     nodes: BTreeMap<NodeId, Node>,
     requests: BTreeMap<RequestId, Request>,
-    /// By shard.
     powers: BTreeMap<u32, Power>,
     /// Held requests by shard; those of new objects under none.
     held: BTreeMap<Option<u32>, Vec<RequestId>>,
@@ -624,6 +622,7 @@
                 let ratio = aim.div_duration_f64(end.latency) * ANSWER_SHARE * size;
                 ratio.ln().clamp(LEVEL_SAY.0, LEVEL_SAY.1)
             }
+            Outcome::Full if end.attempt > 0 => return,
             Outcome::Full | Outcome::TimedOut | Outcome::Cancelled => LEVEL_SAY.0,
             _ => return,
         };
@@ -976,6 +975,7 @@
                 }
                 self.depth = self.depth.clamp(1.0, NODE_DEPTH);
             }
+            Outcome::Full if end.attempt > 0 => {} // It may lie elsewhere: that tells nothing of the node.
             Outcome::Full | Outcome::NotConnected | Outcome::Reset => {
                 let reset = end.outcome == Outcome::Reset;
                 // Those that were out together are reset for one reason, and count once.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -643,3 +643,21 @@
     host.run(ms(300));
     assert_eq!(host.sent().iter().filter(|id| **id == turned_away).count(), 2);
 }
+
+#[test]
+fn a_request_that_is_turned_away_again_and_again_does_not_shut_its_node_out() {
+    // A reader that names another shard than the one that holds its piece.
+    let mut host = Host::new(safe(), &[node(1, 0)]);
+    warm_up(&mut host);
+    let misled = host.request(0, 0, 0);
+    for attempt in 0..4 {
+        host.end(misled, attempt, 1, Outcome::Full);
+        host.run(ms(80));
+    }
+    let answered = host.answers(misled);
+    assert!(!answered.is_empty(), "four attempts are the most");
+    let before = host.sent().len();
+    host.request(0, 0, 0);
+    host.run(ms(20));
+    assert_eq!(host.sent().len(), before + 1, "the node takes the next one at once");
+}
