A node whose last answers came too late is tried again once they are long ago

Seen in the test of long values on a crowded machine: one client refused 600 times in 20 minutes, each after half of its time, at a node with nothing out. Ruled out: memory (nothing granted), doors, drains, limits (plan without one). Cause: quick_answer above the aim makes every request late; with no worth left for late ones nothing is sent, and without answers the figure never changes (rules.rs, is_late and need). It was there before long values; they only made answers that slow.

Change: a node with nothing out for longer than a level is remembered, whose figure says late to all, has none. The test fails without it. The test of long values ends within its patience now.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -77,7 +77,6 @@
     withdrawn: bool,
 }
 
-/// A class controller's memory.
 #[derive(Default, Clone, serde::Serialize, serde::Deserialize)]
 struct ClassControl {
     /// Normalized bound and last ask.
@@ -123,11 +122,9 @@
     rate: f64,
     intervals: f64,
     served: f64,
-    /// When a node of it was last listed.
     at: Duration,
 }
 
-/// What a node remembers of an attempt out.
 #[derive(Clone, Copy, serde::Serialize, serde::Deserialize)]
 struct Out {
     sent: Duration,
@@ -146,7 +143,6 @@
     elsewhere: Fading,
     /// Use over all hosts as last told, units a second.
     told: f64,
-    /// Place of the next request in the volume's demand, between 0 and 1.
     place: f64,
 }
 
@@ -183,7 +179,6 @@
     further: VecDeque<Duration>,
     /// Largest first wait that clients of each class gave, within its deadline.
     try_wait: Vec<Duration>,
-    /// When the node list is to be asked for.
     ask_list_at: Option<Duration>,
     list_failures: u32,
     look: Duration,
@@ -513,6 +508,11 @@
         self.keys.retain(|_, line| !line.waiting.is_empty() || line.rest_until >= now);
         self.powers.retain(|_, power| now.saturating_sub(power.at) < LEVEL_MEMORY + self.settings.rules.cold);
         self.nodes.retain(|_, node| node.entry.state != NodeState::Gone || !node.out.is_empty());
+        // Figures that let nothing through would never change again.
+        let (aim, old) = (tightest_aim(&self.settings), now.saturating_sub(LEVEL_MEMORY));
+        let stuck =
+            |node: &&mut Node| node.out.is_empty() && node.quick_answer() > aim && node.level.at < old;
+        self.nodes.values_mut().filter(stuck).for_each(|node| node.latency = None);
         // A volume that comes again starts its limit as at a restart, with less than it had.
         let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
         self.volumes.retain(|_, volume| now.saturating_sub(volume.asked.at) < longest + LEVEL_MEMORY);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -661,3 +661,23 @@
     host.run(ms(20));
     assert_eq!(host.sent().len(), before + 1, "the node takes the next one at once");
 }
+
+#[test]
+fn a_node_whose_answers_came_too_late_is_tried_again_once_they_are_long_ago() {
+    // Late answers are worth nothing here, so that none would ever be asked for again.
+    let mut host = Host::new(settings(vec![Class { late_worth: 0.0, ..class(Effect::Safe) }]), &[node(1, 0)]);
+    for _ in 0..20 {
+        let id = host.request(0, 0, 0);
+        host.run(ms(1400));
+        if host.sent().contains(&id) {
+            host.end(id, 0, 1, Outcome::Served);
+        }
+    }
+    host.run(ms(15_000));
+    let before = host.sent().len();
+    for _ in 0..30 {
+        host.request(0, 0, 0);
+        host.run(ms(50));
+    }
+    assert!(host.sent().len() > before);
+}
--- a/tests/net/resp.rs
+++ b/tests/net/resp.rs
@@ -528,9 +528,8 @@
 
 #[test]
 fn long_values_pass_whole_both_ways_and_more_at_once_than_the_budget_holds() {
-    let node = Node::start(|_, words| {
-        Reply::Value(words.get(4).cloned().unwrap_or_else(|| pattern(4 * 1024 * 1024)))
-    });
+    let value = pattern(4 * 1024 * 1024);
+    let node = Node::start(move |_, words| Reply::Value(words.get(4).cloned().unwrap_or(value.clone())));
     let discovery = Discovery::start(&[("s-1", node.address, 3)]);
     let program = Program::start(&discovery, Setup { memory_mb: 24, ..Setup::default() });
     let clients: Vec<_> = (0..12)
@@ -544,7 +543,9 @@
                 // Slow to read: what is not passed on piles up somewhere.
                 thread::sleep(Duration::from_millis(300));
                 let expected = if writes { body.clone() } else { pattern(4 * 1024 * 1024) };
+                let start = Instant::now();
                 loop {
+                    assert!(start.elapsed() < PATIENCE, "client {number} is never served");
                     match client.receive() {
                         Value::Bulk(Some(value)) => {
                             return assert!(value == expected, "client {number} got another value")
@@ -610,3 +611,28 @@
     assert_eq!(client.receive(), bulk(b"0000000000000007"));
     assert_eq!(other.count(), before);
 }
+
+#[test]
+fn half_a_long_body_whose_client_goes_away_is_given_up_at_once() {
+    let node = Node::echo();
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    // The budget has no room for the whole of it, so that it is passed on as it comes.
+    let program = Program::start(&discovery, Setup { memory_mb: 8, ..Setup::default() });
+    let mut client = Client::connect(program.resp);
+    let list = b"c=write,t=plus,d=4000,volume=00000000000000a0,units=2,shard=-1,hosts=1";
+    let length = format!("${}\r\n", list.len());
+    let head = [
+        &b"*5\r\n$7\r\nOBJ.PUT\r\n$16\r\n0000000000000001\r\n$2\r\nid\r\n"[..],
+        length.as_bytes(),
+        list,
+        b"\r\n$4000000\r\n",
+    ];
+    client.write(&head.concat());
+    client.write(&pattern(300_000));
+    let mut other = Client::connect(program.resp);
+    eventually("it is on its way", || other.info().contains("attempts_out:1\r\n").then_some(()));
+    drop(client);
+    eventually("it is given up", || other.info().contains("attempts_out:0\r\n").then_some(()));
+    assert!(other.info().contains("requests_open:0\r\n"));
+    assert_eq!(node.count(), 0, "no whole command came to the node");
+}
