--- a/src/rules.rs
+++ b/src/rules.rs
@@ -509,7 +509,7 @@
         self.powers.retain(|_, power| now.saturating_sub(power.at) < LEVEL_MEMORY + self.settings.rules.cold);
         self.nodes.retain(|_, node| node.entry.state != NodeState::Gone || !node.out.is_empty());
         // Figures that let nothing through would never change again.
-        let (aim, old) = (tightest_aim(&self.settings), now.saturating_sub(LEVEL_MEMORY));
+        let (aim, old) = (tightest_aim(&self.settings), now.saturating_sub(2 * LEVEL_MEMORY));
         let stuck =
             |node: &&mut Node| node.out.is_empty() && node.quick_answer() > aim && node.level.at < old;
         self.nodes.values_mut().filter(stuck).for_each(|node| node.latency = None);
