--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -572,7 +572,7 @@
             } else if idle
                 && written
                 && (away
-                    || (sheds && client.since + SILENT_BEFORE_SHED < now)
+                    || (sheds && (protocol.has_asked(session) || client.since + SILENT_BEFORE_SHED < now))
                     || (!self.standing.keeps_idle
                         && protocol.has_asked(session)
                         && protocol.makes_room(session)
--- a/tests/net/operators.rs
+++ b/tests/net/operators.rs
@@ -122,3 +122,44 @@
     client.ask(3, 3, "", None);
     assert_eq!(client.receive(), Value::Bulk(Some(b"0000000000000003".to_vec())));
 }
+
+#[test]
+fn a_drain_after_sigterm_is_taken_a_resume_is_not_and_all_is_answered() {
+    let node = Node::start(|_, words| {
+        std::thread::sleep(Duration::from_millis(300));
+        Reply::Value(words[1].clone())
+    });
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let mut program = Program::start(&discovery, with_door());
+    let mut client = Client::connect(program.resp);
+    client.ask(1, 3, "", None);
+    eventually("it is out", || (node.count() == 1).then_some(()));
+    program.terminate();
+    eventually("it ends", || program.call("ready").contains("ending").then_some(()));
+    assert!(program.call("drain").starts_with("200 "));
+    assert!(program.call("resume").starts_with("400 "));
+    assert_eq!(client.receive(), Value::Bulk(Some(b"0000000000000001".to_vec())));
+    assert!(program.wait().success());
+}
+
+#[test]
+fn a_resume_while_connections_are_closed_keeps_those_that_are_left() {
+    let node = Node::start(|_, words| {
+        std::thread::sleep(Duration::from_millis(700));
+        Reply::Value(words[1].clone())
+    });
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, with_door());
+    let (mut idle, mut busy) = (Client::connect(program.resp), Client::connect(program.resp));
+    idle.send(&[b"PING"]);
+    idle.receive();
+    assert!(program.call("drain").starts_with("200 "));
+    busy.ask(1, 3, "", None);
+    // Its connection is read no further once the idle one is closed; a second command waits there.
+    assert_eq!(idle.try_receive(), None);
+    busy.ask(2, 3, "", None);
+    assert!(program.call("resume").starts_with("200 "));
+    for piece in [b"0000000000000001", b"0000000000000002"] {
+        assert_eq!(busy.receive(), Value::Bulk(Some(piece.to_vec())));
+    }
+}
