--- a/src/rules.rs
+++ b/src/rules.rs
@@ -391,7 +391,7 @@
         (xx > 0.0 && xy > 0.0).then(|| xy / xx)
     }
 
-    /// Requirement estimator: the bound that meets the aim, near the last; without slope or answers the last ask.
+    /// Requirement estimator: the bound that meets the aim, near the last; without slope or answers the last.
     fn ask(&mut self, total: f64, aim: Duration) {
         let (sum, answers) = std::mem::take(&mut self.latency);
         if answers == 0.0 {
@@ -408,7 +408,7 @@
         }
     }
 
-    /// Bound at which worth × (1 − performance) equals `error`, near the present one; without a slope in proportion.
+    /// Bound where worth × (1 − performance) equals `error`, near the last; without a slope in proportion.
     fn bound_at(&self, error: f64, worth: f64, total: f64) -> f64 {
         let performance = self.history.back().map_or(1.0, |last| last.0);
         let slope = self.refit().map_or(performance / self.bound.max(BOUND_STEP), |slope| slope * total);
@@ -522,7 +522,7 @@
         self.nodes.values().filter(|node| node.is_ready() || self.is_last(node))
     }
 
-    /// Whether a draining node is the last of its shard, told to drain not long ago: it still gets what it holds.
+    /// Whether a draining node is the last of its shard, told to drain just now: it still gets what it holds.
     fn is_last(&self, node: &Node) -> bool {
         let holds = |other: &Node| other.is_ready() && other.entry.shard == node.entry.shard;
         self.now < node.drain_end && !self.nodes.values().any(holds)
@@ -544,7 +544,7 @@
 // ---------------------------------------------------------------- dispatch
 
 impl Scheduler {
-    /// Fills the nodes, that with the shortest wait first, so that none waits behind one that is silent or slow.
+    /// Fills the nodes, the shortest wait first, so that none waits behind one that is silent or slow.
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
         let wait = |node: &Node| {
             let held = self.held.get(&Some(node.entry.shard)).map_or(0, Vec::len);
@@ -560,7 +560,7 @@
         }
     }
 
-    /// The request to send to a node next: by need, from classes below their bound first (unused slots are lent).
+    /// The request to send to a node next: by need, classes below their bound first (unused slots are lent).
     fn choose(&self, id: NodeId) -> Option<RequestId> {
         let node = &self.nodes[&id];
         if self.now < node.blocked_until || !self.has_room(node) {
@@ -668,7 +668,7 @@
         actions.push(Action::Send { id, node: node_id, give_up_at: new.deadline });
     }
 
-    /// Final answers for held requests that no value would reach in time, or that half of it went by for (ieb05fd).
+    /// Final answers for held requests that no value would reach in time, or whose time is half over (ieb05fd).
     fn give_up(&mut self, actions: &mut Vec<Action>) {
         let margin = self.look + self.settings.tick;
         let mut over = Vec::new();
@@ -690,7 +690,7 @@
         }
     }
 
-    /// The deepest in need of what is held beyond the most that may be (r7b0367: clients with no connection left).
+    /// The deepest in need of what is held beyond the most (r7b0367: clients with no connection left).
     fn too_many(&self) -> Vec<RequestId> {
         let mut held: Vec<RequestId> = self.held.values().flatten().copied().collect();
         let most = self.settings.limits.most_held.unwrap_or(usize::MAX).min(held.len());
@@ -878,7 +878,7 @@
 // ---------------------------------------------------------------- health
 
 impl Scheduler {
-    /// Whether a node may be sent another request. Attempts overtaken, or slow on the wire, hold no slot; beside
+    /// Whether a node may be sent another request. Attempts overtaken or streaming hold no slot; beside
     /// overdue ones it gets single ones at doubling pauses, after failures one at a time (silence, i8370b0).
     fn has_room(&self, node: &Node) -> bool {
         let slow = |id: &RequestId| self.requests.get(id).is_some_and(|request| request.streaming);
