--- a/src/rules.rs
+++ b/src/rules.rs
@@ -668,7 +668,7 @@
         actions.push(Action::Send { id, node: node_id, give_up_at: new.deadline });
     }
 
-    /// Final answers for held requests that no value would reach in time, or whose time is half over (ieb05fd).
+    /// Final answers for held requests that no value would reach in time, or past half of theirs (ieb05fd).
     fn give_up(&mut self, actions: &mut Vec<Action>) {
         let margin = self.look + self.settings.tick;
         let mut over = Vec::new();
