An overbooked discovery is called ten times a second by the whole fleet, not more

Ruled out: the length of watches (of 1 s instead of 4.8 s: 110 to 122 times 503, 19 hosts served as before), probes (none are sent), connections (63 of 384), processor (0.1 s).

Cause: first calls were spread over 10 ms for each host and those turned away came again after 0.24 to 0.72 s (discovery.rs, PAUSE_PER_HOST), while discovery was still busy with calls that it had given up. Other failures pause as before.

Change: first calls are spread over 100 ms for each host (2 s at most, as for 200 hosts before), the pause after a 503 is as long and doubles once: the rate of watches. A test plays such a fleet and fails with the pauses before.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -9,16 +9,17 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// How long a watch may wait at discovery, for each initiator of the fleet: all of them together ask ten times a
-/// second, however many they are. Short in a small fleet, so that silence shows soon.
-const WAIT_PER_HOST: Duration = Duration::from_millis(100);
+/// For each initiator of the fleet, so that all of them together ask ten times a second, however many they are: how
+/// long a watch may wait at discovery, over what first calls are spread, and the pause once it says it is overbooked.
+/// Short in a small fleet, so that silence shows soon.
+const CALL_PER_HOST: Duration = Duration::from_millis(100);
 const WAITS: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(20));
 /// Beyond the wait, how long an answer may take before the connection is given up.
 const SILENCE: Duration = Duration::from_millis(500);
 /// Pause before connecting again after an answer. A watch must go on within 200 ms of it.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
-/// The first pause after a failure, for each initiator of the fleet: those that fail together come back spread over
-/// it. It grows by the factor below at most. Before the first call of all it is spread over as well.
+/// The first pause after any other failure, for each initiator of the fleet: those that fail together come back spread
+/// over it. It grows by the factor below at most.
 const PAUSE_PER_HOST: Duration = Duration::from_millis(10);
 const LONGEST_PAUSE: u32 = 8;
 /// How long lists older than the one held are passed over before they are taken for a numbering begun anew.
@@ -229,7 +230,19 @@
 
 impl Manner {
     fn wait(self) -> Duration {
-        WAIT_PER_HOST.saturating_mul(self.hosts).clamp(WAITS.0, WAITS.1)
+        CALL_PER_HOST.saturating_mul(self.hosts).clamp(WAITS.0, WAITS.1)
+    }
+
+    /// Before the first call. Guards discovery against a fleet that starts at once.
+    fn first_pause(self, drawn: f64) -> Duration {
+        CALL_PER_HOST.saturating_mul(self.hosts - 1).min(WAITS.0).mul_f64(drawn)
+    }
+
+    /// Pauses after discovery has said that it is overbooked. Guards against calls that come again before it is done
+    /// with those that were given up: then it stays overbooked.
+    fn overbooked(self) -> Backoff {
+        let first = CALL_PER_HOST.saturating_mul(self.hosts).clamp(RECONNECT_PAUSE, WAITS.1 / 2);
+        Backoff::new(first, first * 2, self.seed)
     }
 
     fn backoff(self) -> Backoff {
@@ -246,6 +259,7 @@
     state: State,
     wait: Duration,
     backoff: Backoff,
+    overbooked: Backoff,
     /// The whole list is to be asked for, not what is newer than the list held.
     whole: bool,
     /// What was asked goes on from the answer before.
@@ -254,11 +268,10 @@
 
 impl Watch {
     fn new(address: SocketAddr, token: Token, now: Instant, manner: Manner, whole: bool) -> Self {
-        let mut backoff = manner.backoff();
-        // Guards discovery against a fleet that starts at once.
-        let first = PAUSE_PER_HOST.saturating_mul(manner.hosts - 1).min(WAITS.0).mul_f64(backoff.draw());
-        let (state, wait) = (State::Pausing(now + first), manner.wait());
-        Watch { address, token, conn: None, state, wait, backoff, whole, continues: false }
+        let (mut backoff, overbooked) = (manner.backoff(), manner.overbooked());
+        let state = State::Pausing(now + manner.first_pause(backoff.draw()));
+        let wait = manner.wait();
+        Watch { address, token, conn: None, state, wait, backoff, overbooked, whole, continues: false }
     }
 
     fn next_timer(&self) -> Instant {
@@ -311,7 +324,7 @@
             if code != 200 {
                 // It told nothing, so nothing is lost: what was asked is asked again.
                 tracing::debug!(code, "the old node list stands");
-                self.fail(now);
+                (self.conn, self.state) = (None, State::Pausing(now + self.overbooked.pause()));
                 return None;
             }
         }
@@ -321,6 +334,7 @@
                 let fresh = self.continues && !self.whole;
                 self.whole = false;
                 self.backoff.reset();
+                self.overbooked.reset();
                 if end == ReadEnd::Blocked {
                     self.ask(now, held.max(Some(message.index)), true);
                 } else {
@@ -463,6 +477,41 @@
         }
     }
 
+    /// When the last of a fleet that starts at once has its list, in milliseconds, and how many calls were in vain.
+    /// Discovery takes 125 ms for a call, in turn, and goes on with those that it has told to come again after 2 s.
+    fn overbooked_start(
+        hosts: u32,
+        first: fn(Manner, f64) -> Duration,
+        pauses: fn(Manner) -> Backoff,
+    ) -> (u128, u32) {
+        let manner = |host| Manner { hosts, seed: u64::from(host).wrapping_mul(0x9E37_79B9_7F4A_7C15) };
+        let mut askers: Vec<Backoff> = (0..hosts).map(|host| pauses(manner(host))).collect();
+        let starts =
+            (0..hosts).zip(&mut askers).map(|(host, asker)| (first(manner(host), asker.draw()), host));
+        let mut calls: std::collections::BTreeSet<(Duration, u32)> = starts.collect();
+        let (mut free, mut last, mut in_vain) = (Duration::ZERO, Duration::ZERO, 0);
+        while let Some((at, host)) = calls.pop_first() {
+            free = free.max(at) + Duration::from_millis(125);
+            if free - at < WAITS.0 {
+                last = last.max(free);
+                continue;
+            }
+            in_vain += 1;
+            calls.insert((at + WAITS.0 + askers[host as usize].pause(), host));
+        }
+        (last.as_millis(), in_vain)
+    }
+
+    #[test]
+    fn an_overbooked_discovery_is_given_time_to_serve_the_whole_fleet() {
+        let (last, in_vain) = overbooked_start(48, Manner::first_pause, Manner::overbooked);
+        assert!(last < 15_000 && in_vain < 48, "after {last} ms, {in_vain} calls in vain");
+        // As after other failures: they come again before it is done with those that were given up.
+        let soon = |manner: Manner, drawn: f64| PAUSE_PER_HOST.saturating_mul(manner.hosts).mul_f64(drawn);
+        let (_, before) = overbooked_start(48, soon, Manner::backoff);
+        assert!(before > 2 * in_vain, "{before} and {in_vain} calls in vain");
+    }
+
     #[test]
     fn changes_before_the_known_list_are_passed_over_and_a_whole_list_counts_anew() {
         let (address, now) = (SocketAddr::from(([127, 0, 0, 1], 1)), Instant::now());
