--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -1,8 +1,8 @@
 //! Checkers of the rules. They read what clients, nodes and the experiment wrote down, and know nothing of how the
 //! program works.
 
-use crate::clients::{Item, Told};
-use crate::world::Attempt;
+use crate::stand_ins::clients::{Item, Told};
+use crate::stand_ins::service::Attempt;
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
--- a/lab/src/drains.rs
+++ b/lab/src/drains.rs
@@ -3,8 +3,8 @@
 
 use crate::arguments::Common;
 use crate::load::configuration;
-use crate::vrrp::spread;
-use crate::world::{node, Attempts, Listed, Registry};
+use crate::stand_ins::service::{node, Attempts, Listed, Registry};
+use crate::vrrp::experiments::spread;
 use serde_json::{json, Map};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -105,7 +105,7 @@
 /// True if no attempt came later than the grace allows.
 pub fn run(arguments: &Common) -> Result<bool, String> {
     let told = |error: std::io::Error| error.to_string();
-    let program = crate::vrrp::program()?;
+    let program = crate::vrrp::experiments::program()?;
     let ip = |last| Ipv4Addr::new(127, 140, std::process::id() as u8, last);
     let attempts = Attempts::default();
     let nodes: Vec<SocketAddr> = (0..SHARDS.len())
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -3,8 +3,8 @@
 //! another build of the program is measured in the same run, play by play in turn.
 
 use crate::arguments::Common;
-use crate::nodes::{Nodes, VALUE};
-use crate::world::{Listed, Registry};
+use crate::stand_ins::nodes::{Nodes, VALUE};
+use crate::stand_ins::service::{Listed, Registry};
 use hdrhistogram::Histogram;
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Token};
@@ -117,7 +117,7 @@
 
 /// True if every play of this build was played to its end.
 pub fn run(options: &Options) -> Result<bool, String> {
-    let own = crate::vrrp::program()?;
+    let own = crate::vrrp::experiments::program()?;
     let time = Duration::from_secs(if options.common.short { 2 } else { 5 });
     let plays: Vec<Play> = PLAYS
         .into_iter()
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,32 +2,14 @@
 
 mod arguments;
 mod check;
-mod clients;
-mod cost;
 mod drains;
 mod load;
-mod loss;
-mod machines;
-mod members;
-mod members_model;
-mod members_script;
-mod members_sim;
-mod members_ways;
-mod members_world;
-mod model;
-mod nodes;
+mod membership;
 mod planners;
-mod planners_sim;
-mod segment;
 mod settings;
-mod settings_check;
-mod settings_world;
-mod shares_world;
+mod stand_ins;
 mod sync;
-mod takeover;
 mod vrrp;
-mod ways;
-mod world;
 mod worth;
 
 use clap::{Parser, Subcommand};
@@ -47,11 +29,11 @@
     /// From a drain's announcement to the last attempt, and calls of discovery, where that is asked.
     Drains(arguments::Common),
     /// Settings drawn at random, each played in virtual time: every rule is checked on what was seen.
-    Settings(settings::Options),
+    Settings(settings::command::Options),
     /// Membership among real processes that are stopped, cut, killed and lied to.
     Fleet(arguments::Parts),
     /// A script of faults among real processes, with a timeline of what came of it.
-    FleetScript(members_script::Options),
+    FleetScript(membership::script::Options),
     /// Membership in virtual time: fault schedules by the thousand, detection, loss, cost.
     FleetSim(arguments::Parts),
     /// Takeovers of a virtual address: gaps, broken rules, false takeovers, cost.
@@ -66,13 +48,13 @@
     let done = match Arguments::parse().command {
         Command::Load(options) => load::run(&options),
         Command::Drains(arguments) => drains::run(&arguments),
-        Command::Settings(options) => settings::run(&options),
-        Command::Fleet(arguments) => members::run(&arguments),
-        Command::FleetScript(options) => members_script::run(&options),
-        Command::FleetSim(arguments) => members_sim::run(&arguments),
-        Command::Vrrp(arguments) => vrrp::run(&arguments),
-        Command::Planners(arguments) => planners::run(&arguments),
-        Command::PlannersSim(arguments) => planners_sim::run(&arguments),
+        Command::Settings(options) => settings::command::run(&options),
+        Command::Fleet(arguments) => membership::processes::run(&arguments),
+        Command::FleetScript(options) => membership::script::run(&options),
+        Command::FleetSim(arguments) => membership::simulation::run(&arguments),
+        Command::Vrrp(arguments) => vrrp::experiments::run(&arguments),
+        Command::Planners(arguments) => planners::processes::run(&arguments),
+        Command::PlannersSim(arguments) => planners::simulation::run(&arguments),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/lab/src/members_ways.rs
+++ b/lab/src/membership/comparison.rs
@@ -1,7 +1,7 @@
 //! Other ways to tell who is gone, weighed against the one that was built: heartbeats of all to all with a fixed time-out,
 //! the same judged by phi accrual, and the program's own members that do not know when they were late.
 
-use crate::members_world::{Fault, Network, Terms, Timed, World};
+use super::world::{Fault, Network, Terms, Timed, World};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
--- a/lab/src/members.rs
+++ b/lab/src/membership/processes.rs
@@ -3,9 +3,9 @@
 //! recorded and checked.
 
 use crate::arguments::Parts;
-use crate::machines::{Fleet, Machine, Setup};
-use crate::segment::{Link, Segment};
-use crate::world::{node, Attempts, Listed, Registry};
+use crate::stand_ins::machines::{Fleet, Machine, Setup};
+use crate::stand_ins::segment::{Link, Segment};
+use crate::stand_ins::service::{node, Attempts, Listed, Registry};
 use serde::Serialize;
 use serde_json::{json, Map, Value};
 use std::collections::{BTreeMap, BTreeSet};
@@ -589,7 +589,7 @@
     let cpu = (used() - before).as_secs_f64() * 1000.0 / start.elapsed().as_secs_f64() / SIZE as f64;
     let lost = taken.iter().map(|(_, lost)| lost).sum();
     let all: Vec<Duration> = taken.into_iter().flat_map(|(latencies, _)| latencies).collect();
-    let [p50, p99, _] = crate::vrrp::spread(&all).map(|millis| millis * 1000.0);
+    let [p50, p99, _] = crate::vrrp::experiments::spread(&all).map(|millis| millis * 1000.0);
     Ok((cpu, p50, p99, lost))
 }
 
@@ -638,7 +638,7 @@
     let names: Vec<String> = SCENES.iter().map(|scene| format!("{scene:?}").to_lowercase()).collect();
     let known: Vec<&str> = names.iter().map(String::as_str).chain(["service"]).collect();
     parts.check(&known)?;
-    let program = crate::vrrp::program()?;
+    let program = crate::vrrp::experiments::program()?;
     let repeats = if parts.common.short { 1 } else { 5 };
     let (mut report, mut sound) = (Map::new(), true);
     let wanted = SCENES.iter().zip(&names).filter(|(_, name)| parts.want(name));
@@ -706,7 +706,7 @@
     #[test]
     fn processes_that_are_stopped_cut_killed_and_lied_to_agree_on_who_is_there() {
         let _processor = alone();
-        let program = crate::vrrp::program().unwrap();
+        let program = crate::vrrp::experiments::program().unwrap();
         let scenes = [
             Scene::ShortPause,
             Scene::LongPause,
--- a/lab/src/members_script.rs
+++ b/lab/src/membership/script.rs
@@ -1,9 +1,9 @@
 //! `topazpath-lab fleet-script FILE`: a script of faults among real processes, and a timeline of what came of it: faults,
 //! phases, views and log lines as JSON, a line each, on one clock.
 
+use super::processes::{Breaches, Rig};
 use crate::arguments::Common;
-use crate::members::{Breaches, Rig};
-use crate::segment::Link;
+use crate::stand_ins::segment::Link;
 use serde::Deserialize;
 use serde_json::{json, Map, Value};
 use std::io::Write;
@@ -240,7 +240,7 @@
 pub fn run(options: &Options) -> Result<bool, String> {
     let shown = options.script.display();
     let script = Script::read(&options.script).map_err(|why| format!("{shown}: {why}"))?;
-    let program = crate::vrrp::program()?;
+    let program = crate::vrrp::experiments::program()?;
     let output: Box<dyn Write> = match &options.timeline {
         Some(path) => {
             Box::new(std::fs::File::create(path).map_err(|error| format!("{}: {error}", path.display()))?)
@@ -262,8 +262,8 @@
     use crate::sync::processor::{alone, steady};
 
     const SHIPPED: [&str; 2] = [
-        include_str!("../incidents/fleet-cut-and-pause.toml"),
-        include_str!("../incidents/fleet-rolling-in-loss.toml"),
+        include_str!("../../incidents/fleet-cut-and-pause.toml"),
+        include_str!("../../incidents/fleet-rolling-in-loss.toml"),
     ];
 
     #[test]
@@ -289,7 +289,7 @@
     #[test]
     fn a_script_of_overlapping_faults_breaks_no_rule_and_leaves_a_timeline() {
         let _processor = alone();
-        let program = crate::vrrp::program().unwrap();
+        let program = crate::vrrp::experiments::program().unwrap();
         let script = Script::parse(SHIPPED[0]).unwrap();
         let file = std::env::temp_dir().join(format!("topazpath-timeline-{}", std::process::id()));
         let (breaches, _) = steady(|| {
--- a/lab/src/members_sim.rs
+++ b/lab/src/membership/simulation.rs
@@ -1,10 +1,10 @@
 //! `topazpath-lab fleet-sim`: membership in virtual time. Fault schedules drawn by the thousand with every rule checked,
 //! how soon a dead member is known, what loss and pauses do against other ways, what it costs by the size of the fleet.
 
+use super::world::{Breaches, Fault, Network, Terms, Timed, World};
+use super::{comparison, model};
 use crate::arguments::Parts;
-use crate::members_world::{Breaches, Fault, Network, Terms, Timed, World};
-use crate::vrrp::spread;
-use crate::{members_model, members_ways};
+use crate::vrrp::experiments::spread;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Map, Value};
@@ -28,15 +28,15 @@
         report.insert("detection".into(), detection(if short { 20 } else { 300 }, seed));
     }
     if parts.want("loss") {
-        report.insert("loss".into(), members_ways::weigh(if short { 0.5 } else { 40.0 }, seed));
+        report.insert("loss".into(), comparison::weigh(if short { 0.5 } else { 40.0 }, seed));
     }
     if parts.want("cost") {
         let sizes: &[usize] = if short { &[3, 30, 100] } else { &[3, 30, 300, 1000, 3000] };
         report.insert("cost".into(), json!(sizes.iter().map(|size| cost(*size, seed)).collect::<Vec<_>>()));
     }
     if parts.want("model") {
-        let part = members_model::recorded(short).into_iter().map(|(name, model)| {
-            let (states, broken) = members_model::check(model);
+        let part = model::recorded(short).into_iter().map(|(name, model)| {
+            let (states, broken) = model::check(model);
             println!("  {name:<36} {states:>9} states  broken {broken:?}");
             sound &= broken.is_empty();
             json!({ "name": name, "states": states, "broken": broken })
--- a/lab/src/planners.rs
+++ b/lab/src/planners/processes.rs
@@ -3,9 +3,9 @@
 
 use crate::arguments::Common;
 use crate::check::{check, Breaches, Drain, Terms};
-use crate::clients::{Clients, Item, Load, Part, Told, Way};
-use crate::machines::{Machine, Setup, BURST, SLACK};
-use crate::world::{node, Attempt, Attempts, Listed, Registry};
+use crate::stand_ins::clients::{Clients, Item, Load, Part, Told, Way};
+use crate::stand_ins::machines::{Machine, Setup, BURST, SLACK};
+use crate::stand_ins::service::{node, Attempt, Attempts, Listed, Registry};
 use crate::worth::Prices;
 use serde_json::{json, Map, Value};
 use std::collections::BTreeMap;
@@ -43,7 +43,7 @@
 
 /// True if no rule broke and no request was ended by the loss.
 pub fn run(arguments: &Common) -> Result<bool, String> {
-    let program = crate::vrrp::program()?;
+    let program = crate::vrrp::experiments::program()?;
     let outage = Duration::from_secs(if arguments.short { 12 } else { 60 });
     let both = [(true, 60), (false, 61)].map(|(planned, place)| (planned, place, &program));
     let [planned, even] = std::thread::scope(|scope| {
--- a/lab/src/planners_sim.rs
+++ b/lab/src/planners/simulation.rs
@@ -1,7 +1,7 @@
 //! `topazpath-lab planners-sim`: shares in virtual time, under faults, at scale.
 
+use super::world::{play, Division, Planted, Play, Played};
 use crate::arguments::{Common, Parts};
-use crate::shares_world::{play, Division, Planted, Play, Played};
 use crate::sync::lock;
 use serde_json::{json, Map, Value};
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/lab/src/settings_check.rs
+++ b/lab/src/settings/check.rs
@@ -397,8 +397,8 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::world::{draw, play};
     use super::*;
-    use crate::settings_world::{draw, play};
     use rand::SeedableRng;
     use rand_chacha::ChaCha8Rng;
 
--- a/lab/src/settings.rs
+++ b/lab/src/settings/command.rs
@@ -1,9 +1,9 @@
 //! `topazpath-lab settings`: settings drawn at random, each played through the real core and scheduler in virtual time,
 //! and every rule checked on what was seen.
 
+use super::check::Breaches;
+use super::world::play;
 use crate::arguments::Common;
-use crate::settings_check::Breaches;
-use crate::settings_world::play;
 use serde_json::{json, Map};
 use std::time::Duration;
 
--- a/lab/src/settings_world.rs
+++ b/lab/src/settings/world.rs
@@ -1,7 +1,7 @@
 //! A small fleet in virtual time under settings drawn at random: the real core and the real scheduler of each host, a
 //! node model, lists that come late, clients, and a history of what was seen from outside. Everything comes of one seed.
 
-use crate::settings_check::{Asked, Ending, History, Sent, Started, Told, EPOCH};
+use super::check::{Asked, Ending, History, Sent, Started, Told, EPOCH};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/lab/src/clients.rs
+++ b/lab/src/stand_ins/clients.rs
@@ -1,7 +1,7 @@
 //! Stand-in clients of one virtual address: open loop, each request with its own id, over connections that are opened
 //! again wherever the address leads now. What was sent and what came back is written down for the checkers.
 
-use crate::segment::Segment;
+use crate::stand_ins::segment::Segment;
 use crate::sync::lock;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/lab/src/machines.rs
+++ b/lab/src/stand_ins/machines.rs
@@ -1,6 +1,6 @@
 //! Initiator machines: the real program as a process each, with files of its own.
 
-use crate::segment::Port;
+use crate::stand_ins::segment::Port;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
--- a/lab/src/cost.rs
+++ b/lab/src/vrrp/cost.rs
@@ -1,6 +1,6 @@
 //! What virtual routers cost in one process: processor time and bytes, and the timers against a plain scan.
 
-use crate::segment::Port;
+use crate::stand_ins::segment::Port;
 use mio::{Events, Poll, Token};
 use nix::time::{clock_gettime, ClockId};
 use rand::{Rng, SeedableRng};
--- a/lab/src/vrrp.rs
+++ b/lab/src/vrrp/experiments.rs
@@ -1,10 +1,10 @@
 //! `topazpath-lab vrrp`: what the address's move costs and whether a rule breaks.
 
+use super::division::{self, Way};
+use super::takeover::{self, Kind, Outcome, Plan};
+use super::{cost, loss, model};
 use crate::arguments::{Common, Parts};
 use crate::check::Breaches;
-use crate::takeover::{self, Kind, Outcome, Plan};
-use crate::ways::{self, Way};
-use crate::{cost, loss, model};
 use serde_json::{json, Map, Value};
 use std::path::{Path, PathBuf};
 use std::process::Command;
@@ -262,7 +262,7 @@
     let part: Vec<Value> = Way::ALL
         .into_iter()
         .map(|way| {
-            let weighed = ways::weigh(way, volumes, arguments.seed);
+            let weighed = division::weigh(way, volumes, arguments.seed);
             println!(
                 "  {:<14} first {:.4}  second {:.4}  both {:.4}  excess {:>6.1}",
                 way.name(),
--- a/lab/src/takeover.rs
+++ b/lab/src/vrrp/takeover.rs
@@ -1,10 +1,10 @@
 //! Takeovers between two real machines: how long the virtual address gives no answer, and whether a rule broke.
 
 use crate::check::{check, Breaches, Drain, Terms, Trouble};
-use crate::clients::{Clients, Load, Way};
-use crate::machines::{Machine, Routes, Setup, BURST, SLACK};
-use crate::segment::{Link, Segment};
-use crate::world::{node, Attempts, Listed, Registry};
+use crate::stand_ins::clients::{Clients, Load, Way};
+use crate::stand_ins::machines::{Machine, Routes, Setup, BURST, SLACK};
+use crate::stand_ins::segment::{Link, Segment};
+use crate::stand_ins::service::{node, Attempts, Listed, Registry};
 use serde::Serialize;
 use std::net::Ipv4Addr;
 use std::path::Path;
@@ -113,7 +113,7 @@
     let attempts = scene.attempts.clone();
     let items = scene.clients.end();
     let attempts = attempts.lock().map_err(|_| "a node's thread panicked")?;
-    let served = items.iter().filter(|item| item.told == crate::clients::Told::Served).count();
+    let served = items.iter().filter(|item| item.told == crate::stand_ins::clients::Told::Served).count();
     let breaches = check(&items, &attempts, &scene.terms);
     Ok(Outcome { gaps, least: 3 * plan.interval + skew, skew, breaches, sent: items.len(), served })
 }
