--- /dev/null
+++ b/src/pace/tests.rs
@@ -0,0 +1,53 @@
+use super::*;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+struct Turns {
+    pace: Pace,
+    now: Instant,
+}
+
+impl Turns {
+    fn new() -> Self {
+        let now = Instant::now();
+        Turns { pace: Pace::new(MS(2), 1.0, now), now }
+    }
+
+    /// Works, then waits beyond its pause; what came is so late.
+    fn turn(&mut self, works: Duration, waits: Duration) -> Duration {
+        self.now += works;
+        self.now += self.pace.waits(self.now) + waits;
+        self.pace.woken(self.now)
+    }
+}
+
+#[test]
+fn a_loop_that_waits_for_its_work_is_neither_late_nor_kept_waiting() {
+    let mut turns = Turns::new();
+    for _ in 0..100 {
+        assert_eq!(turns.turn(MS(1), MS(19)), Duration::ZERO);
+        assert_eq!(turns.pace.pause, Duration::ZERO);
+    }
+}
+
+#[test]
+fn a_loop_that_always_finds_more_is_late_by_its_turns_and_takes_larger_ones() {
+    let mut turns = Turns::new();
+    for _ in 0..100 {
+        turns.turn(MS(40), Duration::ZERO);
+    }
+    assert_eq!(turns.turn(MS(40), Duration::ZERO), MS(42));
+    assert_eq!(turns.pace.pause, MS(2));
+    // A turn on, what was sent late is answered late; then that is over.
+    assert_eq!(turns.turn(MS(1), MS(50)), MS(21));
+    let later: Vec<Duration> = (0..9).map(|_| turns.turn(MS(1), MS(50))).collect();
+    assert_eq!((later[8], turns.pace.pause), (Duration::ZERO, Duration::ZERO));
+}
+
+#[test]
+fn a_process_that_was_stopped_while_it_waited_doubts_itself() {
+    let mut turns = Turns::new();
+    turns.turn(MS(1), MS(9));
+    turns.pace.interrupted();
+    assert!(turns.turn(MS(1), MS(5000)) >= MS(5000));
+}
--- /dev/null
+++ b/src/rules/carry/tests.rs
@@ -0,0 +1,155 @@
+use super::*;
+use proptest::prelude::*;
+
+const RATE: f64 = 20.0;
+const BURST: f64 = 32.0;
+const SLACK: f64 = 4.0;
+
+fn settings() -> Settings {
+    let class = Class {
+        aim: Duration::from_millis(400),
+        deadline: Duration::from_secs(4),
+        worth: 1.0,
+        late_worth: 0.2,
+        effect: Effect::Safe,
+        window: Duration::ZERO,
+        in_order: false,
+    };
+    let limit = Some(Limit { rate: RATE, burst: BURST, slack: SLACK });
+    Settings {
+        hosts: 1,
+        tick: Duration::from_millis(2),
+        classes: vec![class],
+        plans: vec![Plan { reserve: 5.0, limit, weight: 1.0, price: 1.0 }],
+        units: Units {
+            mean: 2.0,
+            largest: 8.0,
+            share_worth: 0.4,
+            spare_worth: 0.1,
+            cold_units: 30.0,
+            ..Units::default()
+        },
+        rules: Rules {
+            drain_grace: Duration::from_secs(2),
+            cold_share: 0.16,
+            cold: Duration::from_secs(18),
+            fall_multiple: 3.0,
+            fall: Duration::from_secs(3),
+            ..Rules::default()
+        },
+        limits: Limits { max_attempts: 4, ..Limits::default() },
+        ..Settings::default()
+    }
+}
+
+fn list(started: Option<Duration>) -> Event {
+    let node = NodeEntry { node: NodeId(1), shard: 0, started, ..NodeEntry::default() };
+    Event::List { kind: ListKind::Full, entries: vec![node] }
+}
+
+/// A scheduler with requests that answers come back to at once.
+struct Host {
+    scheduler: Scheduler,
+    sent: Vec<(Duration, f64)>,
+    units: BTreeMap<RequestId, f64>,
+    next: u64,
+}
+
+impl Host {
+    fn step(&mut self, now: Duration, mut events: Vec<Event>, ask: f64) {
+        if ask > 0.0 {
+            self.next += 1;
+            let id = RequestId(self.next);
+            self.units.insert(id, ask);
+            let (deadline, shard) = (now + Duration::from_secs(4), Some(0));
+            let (volume, volume_hosts) = (VolumeId(7), 1.0);
+            let new =
+                NewRequest { id, volume, volume_hosts, deadline, units: ask, shard, ..Default::default() };
+            events.push(Event::Request(new));
+        }
+        let mut actions = Vec::new();
+        self.scheduler.handle(now, &events, &mut actions);
+        for action in actions {
+            let Action::Send { id, node, .. } = action else { continue };
+            self.sent.push((now, self.units[&id]));
+            let (outcome, latency) = (Outcome::Served, Duration::from_millis(20));
+            let end = AttemptEnd {
+                id,
+                attempt: 0,
+                node,
+                outcome,
+                finished: true,
+                latency,
+                used: None,
+                elsewhere: 0.0,
+            };
+            self.scheduler.handle(now, &[Event::AttemptEnded(end)], &mut Vec::new());
+        }
+    }
+}
+
+proptest! {
+    /// Both go on being asked at once, as in the seconds of an upgrade; then only the newer one.
+    #[test]
+    fn two_processes_together_keep_a_limit_as_one(asks in prop::collection::vec(1u8..9, 200), handed in 10usize..80, apart in 1usize..60) {
+        let start = Duration::from_secs(1000);
+        let host = |seed| Host {
+            scheduler: Scheduler::new(settings(), seed),
+            sent: Vec::new(),
+            units: BTreeMap::new(),
+            next: seed << 32,
+        };
+        let (mut old, mut new) = (host(1), host(2));
+        old.step(start, vec![list(None)], 0.0);
+        for (at, ask) in asks.iter().enumerate() {
+            let now = start + Duration::from_millis(50) * at as u32;
+            if at == handed {
+                prop_assert!(new.scheduler.take_over(old.scheduler.hand_over(now)));
+            }
+            if at == handed + apart {
+                new.scheduler.take_all(now);
+            }
+            if at >= handed {
+                new.step(now, vec![], f64::from(*ask));
+            }
+            if at < handed + apart {
+                old.step(now, vec![], f64::from(*ask));
+            }
+        }
+        let mut sent = [old.sent, new.sent].concat();
+        sent.sort_by_key(|(at, _)| *at);
+        prop_assert!(!sent.is_empty());
+        let (mut level, mut last) = (BURST, start);
+        for (at, units) in sent {
+            level = (level + RATE * (at - last).as_secs_f64()).min(BURST) - units;
+            last = at;
+            prop_assert!(level >= -SLACK - 1e-6, "overdrawn to {level}");
+        }
+    }
+}
+
+#[test]
+fn a_cold_node_gets_nothing_more_from_the_older_one_and_goes_on_from_its_debt_at_the_newer() {
+    let now = Duration::from_secs(1000);
+    let (mut old, mut new) = (Scheduler::new(settings(), 1), Scheduler::new(settings(), 2));
+    let cold = list(Some(now - Duration::from_secs(3)));
+    old.handle(now, &[cold], &mut Vec::new());
+    old.nodes.get_mut(&NodeId(1)).unwrap().cold = Store { level: -20.0, at: now };
+    assert!(new.take_over(old.hand_over(now)));
+    assert_eq!(new.nodes[&NodeId(1)].cold.level, -20.0);
+    let at = |scheduler: &Scheduler, now| {
+        let node = &scheduler.nodes[&NodeId(1)];
+        node.cold.clone().fill(now, scheduler.cold_rate(node), 0.0)
+    };
+    let later = now + Duration::from_secs(5);
+    assert!(at(&old, later) < 0.0, "nothing for as long as it lives");
+    assert_eq!(at(&new, later), 0.0);
+}
+
+#[test]
+fn what_other_settings_mean_is_not_taken_over() {
+    let mut old = Scheduler::new(settings(), 1);
+    let mut new = Scheduler::new(Settings { hosts: 2, ..settings() }, 2);
+    assert!(!new.take_over(old.hand_over(Duration::from_secs(1000))));
+    assert_eq!(new.settings.hosts, 2);
+}
--- a/src/tokens.rs
+++ b/src/tokens.rs
@@ -69,17 +69,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_token_tells_its_kind_and_comes_once() {
-        let mut tokens = Tokens::new();
-        let given: Vec<_> = ALL.iter().chain(&ALL).map(|kind| (tokens.next(*kind).0, *kind)).collect();
-        for (at, (token, kind)) in given.iter().enumerate() {
-            assert_eq!(Kind::of(*token), Some(*kind));
-            assert!(given[..at].iter().all(|(other, _)| other != token));
-        }
-        assert_eq!((Kind::of(0), Kind::of(FIRST_FREE + KINDS - 1)), (None, None));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/vrrp/speaker/tests.rs
@@ -0,0 +1,124 @@
+use super::super::machine::{Parameters, Reason, Role};
+use super::super::packet::{Advertisement, Coverage};
+use super::*;
+use mio::Poll;
+use std::net::{IpAddr, UdpSocket as StdSocket};
+
+const INTERVAL: Duration = Duration::from_millis(100);
+
+fn router(address: IpAddr, addresses: Vec<IpAddr>) -> Router {
+    let parameters = Parameters { interval: INTERVAL, preempt: true, preempt_delay: Duration::ZERO, address };
+    let name = "r".to_string();
+    Router { name, vrid: 7, priority: 100, addresses, parameters, coverage: Coverage::PseudoHeader }
+}
+
+/// A speaker and the one socket that it hears, with the hops that its packets have.
+fn pair(own: &str, hops: u32) -> (Speaker, StdSocket, Path) {
+    let address: IpAddr = own.parse().unwrap();
+    let peer = StdSocket::bind((address, 0)).unwrap();
+    let socket = socket2::SockRef::from(&peer);
+    if address.is_ipv4() {
+        socket.set_ttl_v4(hops).unwrap();
+    } else {
+        socket.set_unicast_hops_v6(hops).unwrap();
+    }
+    peer.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let free = StdSocket::bind((address, 0)).unwrap().local_addr().unwrap();
+    let interface = Interface { address: free, peers: vec![peer.local_addr().unwrap()] };
+    let poll = Poll::new().unwrap();
+    let routers = vec![router(address, vec![address])];
+    let tokens = [Token(0)];
+    let mut speaker =
+        Speaker::start(&[interface], routers, &[], tokens, poll.registry(), Instant::now()).unwrap();
+    let started = speaker.turn(speaker.origin);
+    assert_eq!(started[0].1.reason, Reason::Startup);
+    peer.connect(free).unwrap();
+    (speaker, peer, Path { source: address, destination: address })
+}
+
+fn heard(address: IpAddr) -> Advertisement {
+    Advertisement { vrid: 7, priority: 200, interval: INTERVAL * 10, addresses: vec![address] }
+}
+
+/// Turns until something is so. Time stands still, so that no timer fires.
+fn turn_until(speaker: &mut Speaker, what: impl Fn(&Speaker) -> bool) {
+    let (now, start) = (speaker.origin, Instant::now());
+    while !what(speaker) {
+        assert!(start.elapsed() < Duration::from_secs(20), "never came true");
+        speaker.ready(0);
+        assert_eq!(speaker.turn(now), []);
+    }
+}
+
+fn both_families(test: impl Fn(&str)) {
+    test("127.0.0.1");
+    test("::1");
+}
+
+#[test]
+fn a_peer_with_all_hops_is_heard_and_learnt_from() {
+    both_families(|own| {
+        let (mut speaker, peer, path) = pair(own, 255);
+        peer.send(&heard(path.source).write(path, Coverage::PseudoHeader)).unwrap();
+        turn_until(&mut speaker, |speaker| speaker.routers().statistics(0).advertisements_received == 1);
+        assert_eq!(speaker.routers().machine(0).active_interval(), INTERVAL * 10);
+    });
+}
+
+#[test]
+fn a_packet_with_fewer_hops_is_counted_and_left() {
+    both_families(|own| {
+        let (mut speaker, peer, path) = pair(own, 254);
+        peer.send(&heard(path.source).write(path, Coverage::PseudoHeader)).unwrap();
+        turn_until(&mut speaker, |speaker| speaker.routers().errors.ttl == 1);
+        assert_eq!(speaker.routers().statistics(0).advertisements_received, 0);
+    });
+}
+
+#[test]
+fn a_stranger_is_counted_and_left() {
+    let (mut speaker, _peer, path) = pair("127.0.0.1", 255);
+    let stranger = StdSocket::bind("127.0.0.1:0").unwrap();
+    socket2::SockRef::from(&stranger).set_ttl_v4(255).unwrap();
+    let packet = heard(path.source).write(path, Coverage::PseudoHeader);
+    stranger.send_to(&packet, speaker.open[0].address).unwrap();
+    turn_until(&mut speaker, |speaker| speaker.routers().errors.strangers == 1);
+    assert_eq!(speaker.routers().statistics(0).advertisements_received, 0);
+}
+
+#[test]
+fn one_turn_reads_a_bounded_part_of_a_flood() {
+    let (mut speaker, peer, path) = pair("127.0.0.1", 255);
+    let packet = heard(path.source).write(path, Coverage::PseudoHeader);
+    for _ in 0..MOST_READ + 50 {
+        peer.send(&packet).unwrap();
+    }
+    speaker.ready(0);
+    speaker.turn(speaker.origin);
+    let read = speaker.routers().statistics(0).advertisements_received;
+    assert!(read <= MOST_READ as u64, "{read}");
+    assert_eq!(speaker.next_timer(speaker.origin), Some(speaker.origin), "it goes on at once");
+    turn_until(&mut speaker, |speaker| {
+        speaker.routers().statistics(0).advertisements_received == MOST_READ as u64 + 50
+    });
+}
+
+#[test]
+fn what_it_sends_is_sound_and_has_all_hops() {
+    both_families(|own| {
+        let (mut speaker, peer, path) = pair(own, 255);
+        let now = speaker.origin + INTERVAL * 4;
+        let changes = speaker.turn(now);
+        assert_eq!(changes.len(), 1);
+        assert_eq!((changes[0].1.to, changes[0].1.reason), (Role::Active, Reason::NoResponse));
+        let mut packet = [0; 256];
+        let length = peer.recv(&mut packet).unwrap();
+        let (told, coverage) = Advertisement::read(&packet[..length], path).unwrap();
+        assert_eq!((told.priority, coverage), (100, Coverage::PseudoHeader));
+        assert_eq!(speaker.bytes_sent, length as u64);
+        let ended = speaker.shut_down(now);
+        assert_eq!(ended[0].1.reason, Reason::Shutdown);
+        let length = peer.recv(&mut packet).unwrap();
+        assert_eq!(Advertisement::read(&packet[..length], path).unwrap().0.priority, 0);
+    });
+}
--- /dev/null
+++ b/src/vrrp/track/tests.rs
@@ -0,0 +1,52 @@
+use super::*;
+use proptest::prelude::*;
+
+fn rule(condition: Condition, lowers: u8) -> Rule {
+    Rule { condition, lowers, fall: 3, rise: 2 }
+}
+
+#[test]
+fn a_condition_counts_after_its_looks_in_a_row() {
+    let mut tracker = Tracker::new(&[rule(Condition::LoopLate, 50)]);
+    let looks = [true, true, false, true, true, true, false, true, false, false];
+    let held = looks.map(|found| {
+        tracker.look(Condition::LoopLate, found);
+        tracker.holds(Condition::LoopLate)
+    });
+    assert_eq!(held, [false, false, false, false, false, true, true, true, true, false]);
+    assert!(!tracker.look(Condition::File, true), "nobody asked for it");
+}
+
+#[test]
+fn what_holds_adds_up_and_leaves_at_least_one() {
+    let rules = [rule(Condition::LoopLate, 50), rule(Condition::Memory, 100), rule(Condition::File, 0)];
+    let mut tracker = Tracker::new(&rules);
+    let hold = |tracker: &mut Tracker, it| {
+        (0..3).for_each(|_| {
+            tracker.look(it, true);
+        });
+    };
+    hold(&mut tracker, Condition::LoopLate);
+    assert_eq!((tracker.priority(200), tracker.priority(255), tracker.priority(0)), (150, 255, 0));
+    hold(&mut tracker, Condition::Memory);
+    assert_eq!((tracker.priority(200), tracker.priority(100)), (50, 1));
+    hold(&mut tracker, Condition::File);
+    assert_eq!((tracker.priority(200), tracker.priority(255)), (0, 0));
+    tracker.change(&rules[..1]);
+    assert_eq!(tracker.priority(200), 150, "what still counts goes on holding");
+}
+
+proptest! {
+    /// It turns only after as many looks in a row as the rule says.
+    #[test]
+    fn it_never_turns_early(looks in prop::collection::vec(any::<bool>(), 0..60)) {
+        let mut tracker = Tracker::new(&[rule(Condition::Memory, 10)]);
+        for (at, found) in looks.iter().enumerate() {
+            if tracker.look(Condition::Memory, *found) {
+                let needed = if *found { 3 } else { 2 };
+                prop_assert!(at + 1 >= needed);
+                prop_assert!(looks[at + 1 - needed..=at].iter().all(|look| look == found));
+            }
+        }
+    }
+}
