--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,6 +68,7 @@
 mod quantity;
 mod random;
 pub mod resp;
+pub mod revisions;
 mod rules;
 mod service;
 pub mod settings;
--- a/src/planner/client.rs
+++ b/src/planner/client.rs
@@ -324,6 +324,7 @@
                 }
             }
             FromPlanner::Plan { .. } => {}
+            FromPlanner::Update(_) | FromPlanner::Quorum(_) | FromPlanner::OperatorReply(_) => {}
         }
     }
 
--- a/src/planner/frame.rs
+++ b/src/planner/frame.rs
@@ -4,12 +4,15 @@
 //! does not know the number says so and closes. Then reports go one way and plans the other, for each partition that the
 //! planner leads.
 
+use crate::revisions::agreement::{Proposal, ProposalError};
+use crate::revisions::distribution::InitiatorStatus;
+use crate::revisions::{Acknowledgement, Revision, RevisionId, RevisionNumber, Update};
 use crate::shares::{Plan, Report};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 /// The schema that is spoken here.
-pub const SCHEMA: u16 = 1;
+pub const SCHEMA: u16 = 2;
 /// A longer message is none of these.
 pub const MOST: usize = 4 * 1024 * 1024;
 /// Bytes of the length.
@@ -34,6 +37,73 @@
     },
     /// It is there, also where it has nothing to report to this planner.
     Alive,
+    /// It wants revisions on this connection; said to one planner at a time.
+    Subscribe {
+        /// The revision in force there.
+        holds: RevisionId,
+    },
+    /// It wants none on this connection any more.
+    Unsubscribe,
+    /// What became of a revision; said to all planners, at the beginning of a connection and after each update.
+    Acknowledge(Acknowledgement),
+    /// First of all from another planner, in place of [`ToPlanner::Hello`]. Its messages follow; none go the other way.
+    PeerHello {
+        /// The schema that it speaks.
+        schema: u16,
+        /// Its name.
+        planner: String,
+    },
+    /// A message of the agreement among planners, as [`crate::revisions::agreement::Action::Send`] gave it.
+    Agreement(Vec<u8>),
+    /// First of all from an operator's command, in place of [`ToPlanner::Hello`]; answered with
+    /// [`FromPlanner::OperatorReply`].
+    Operator {
+        /// The schema that it speaks.
+        schema: u16,
+        /// What it asks for.
+        request: OperatorRequest,
+    },
+}
+
+/// What an operator's command asks a planner for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum OperatorRequest {
+    /// Accept a document as the next revision.
+    Submit(Box<Proposal>),
+    /// An accepted revision; none: the newest.
+    Show(Option<RevisionNumber>),
+    /// What the initiators hold.
+    Status,
+}
+
+/// What a planner answers to an operator's command.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum OperatorReply {
+    /// The proposal became this revision.
+    Accepted(RevisionId),
+    /// It became none.
+    Refused(ProposalError),
+    /// The revision that was asked for; none: it is not kept, or there is none yet.
+    Revision(Option<Box<Revision>>),
+    /// What the planner knows.
+    Status(PlannerStatus),
+    /// Live configuration is not switched on at this planner.
+    Off,
+}
+
+/// What one planner knows of the live configuration.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlannerStatus {
+    /// Its name.
+    pub planner: String,
+    /// Whether a majority of the planners is in contact.
+    pub quorum: bool,
+    /// The name of the planner that leads the agreement, where one is known.
+    pub leader: Option<String>,
+    /// The newest revision that it knows to be accepted.
+    pub newest: RevisionId,
+    /// The initiators that are connected to it, or were within the last day.
+    pub initiators: Vec<InitiatorStatus>,
 }
 
 /// From a planner.
@@ -55,6 +125,13 @@
         /// The plan.
         plan: Plan,
     },
+    /// A revision, or what changed up to it; to a subscriber.
+    Update(Update),
+    /// Whether this planner is in contact with a majority of the planners: at the beginning and at each change. While it is
+    /// not, a subscriber may do better with another planner, and the age of what it holds grows.
+    Quorum(bool),
+    /// Answers an operator's command.
+    OperatorReply(OperatorReply),
 }
 
 /// Adds a message to an output.
