Live configuration: an initiator's part, handing on, and the initiator's side of the link

Initiators have to get revisions from the planners, check them and say what is in force; planners have to know who holds what. The pure parts of both and the initiator's side of the link. The meter now measures demand against a limit that changed while running.

--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -173,7 +173,8 @@
         let planners = (!config.planners.is_empty()).then(|| {
             let (addresses, settings) = (&config.planners, settings.clone());
             let (partitions, name) = (config.partitions, config.name.as_str());
-            Planners::new(addresses, partitions, name, settings, config.seed, (clock, now), &mut tokens)
+            let names = None;
+            Planners::new(addresses, partitions, name, settings, names, config.seed, (clock, now), &mut tokens)
         });
         let mut planner = Planner::new(settings, config.seed, clock);
         let mut core = Core::new(clock, retry_after);
@@ -299,6 +300,7 @@
                     self.core.set_report(client::REPORT, lines, json);
                 }
             }
+            self.take_over_prepared(now);
             self.plan(now);
             if self.state.ending().is_some_and(|since| self.shut_down(now, now - since)) {
                 self.upgrade.end();
@@ -311,6 +313,13 @@
         }
     }
 
+    fn take_over_prepared(&mut self, now: Instant) {
+        let Some(planners) = &mut self.planners else { return };
+        if let Some(prepared) = planners.prepared_configuration() {
+            planners.configuration_taken_over(now, &prepared);
+        }
+    }
+
     /// Follows the addresses that move, before anything else that is ready.
     fn serve(&mut self, now: Instant, events: &Events) {
         let came = |token: &Token| events.iter().any(|event| event.token() == *token);
--- a/src/planner/client.rs
+++ b/src/planner/client/mod.rs
@@ -1,16 +1,22 @@
 //! A forwarder's side of its planners: connections to all of them, reports to those that lead a partition, plans into
 //! the store, and from the store what the scheduler is to know. Losing planners ends nothing: what they moved runs out.
 
-use super::frame::{self, FromPlanner, ToPlanner, HEAD, MOST, SCHEMA};
-use crate::backoff::Backoff;
+mod configuration;
+mod link;
+
+use super::frame::{self, FromPlanner, ToPlanner, HEAD, MOST};
 use crate::clock::Clock;
 use crate::conn::{Conn, Connecting};
 use crate::interface::{Event, Settings, VolumeId};
+use crate::revisions::document::Names;
+use crate::revisions::follower::Prepared;
 use crate::shares::deal;
 use crate::shares::meter::Meter;
 use crate::shares::store::{Mode, Store};
 use crate::shares::{ForwarderId, Part, Resource, LONGEST};
 use crate::tokens::{Kind, Tokens};
+use configuration::{Configuration, ConfigurationReport};
+use link::{Link, State, SILENCE};
 use mio::{Registry, Token};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -21,33 +27,10 @@
 const REPORTS: Duration = Duration::from_millis(100);
 /// How often a planner that leads nothing is told that this forwarder is there, in reports.
 const ALIVE: u32 = 5;
-/// A connection that is not up by then, or says nothing for as long, is given up.
-const SILENCE: Duration = Duration::from_millis(1000);
-/// The first and the longest pause before the next try.
-const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1600));
-/// Bytes that wait for a planner that does not read; reports beyond are left out, and the next says it all.
-const MOST_UNREAD: usize = 64 * 1024;
 
 /// The name of its report.
 pub const REPORT: &str = "planners";
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum State {
-    Down { retry: Instant },
-    Connecting { until: Instant },
-    Up { heard: Instant },
-}
-
-struct Link {
-    address: SocketAddr,
-    token: Token,
-    conn: Option<Conn>,
-    state: State,
-    /// Partitions that it says it leads.
-    leads: Vec<u16>,
-    backoff: Backoff,
-}
-
 /// The planners of one forwarder.
 pub struct Planners {
     name: String,
@@ -55,6 +38,8 @@
     store: Store,
     meter: Meter,
     settings: Settings,
+    /// Live configuration, where it is on.
+    configuration: Option<Configuration>,
     /// Partitions, as keys to deal volumes to.
     partitions: Vec<u64>,
     clock: Clock,
@@ -79,6 +64,8 @@
     volumes: usize,
     plans_taken: u64,
     plans_untaken: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    configuration: Option<ConfigurationReport>,
 }
 
 #[derive(Serialize)]
@@ -91,25 +78,19 @@
 }
 
 impl Planners {
-    /// Knows no plan yet.
+    /// Knows no plan yet. With the names that revisions may refer to live configuration is on.
     pub fn new(
         addresses: &[SocketAddr],
         partitions: usize,
         name: &str,
         settings: Settings,
+        names: Option<Names>,
         seed: u64,
         (clock, now): (Clock, Instant),
         tokens: &mut Tokens,
     ) -> Self {
-        let link = |address: &SocketAddr| Link {
-            address: *address,
-            token: tokens.next(Kind::Planner),
-            conn: None,
-            state: State::Down { retry: now },
-            leads: Vec::new(),
-            // Each draws pauses of its own.
-            backoff: Backoff::new(PAUSES.0, PAUSES.1, seed ^ deal::hash(&address.to_string())),
-        };
+        let link = |address: &SocketAddr| Link::new(*address, tokens.next(Kind::Planner), seed, now);
+        let configuration = names.map(|names| Configuration::new(settings.clone(), names, name, addresses, now));
         let forwarder = ForwarderId(deal::hash(name));
         Planners {
             name: name.to_string(),
@@ -123,6 +104,7 @@
             ),
             meter: Meter::default(),
             settings,
+            configuration,
             partitions: (1..=partitions as u64).collect(),
             clock,
             told: BTreeMap::new(),
@@ -137,11 +119,7 @@
 
     /// When [`Planners::tick`] has something to do.
     pub fn next_timer(&self) -> Instant {
-        let links = self.links.iter().map(|link| match link.state {
-            State::Down { retry } => retry,
-            State::Connecting { until } => until,
-            State::Up { heard } => heard + SILENCE,
-        });
+        let links = self.links.iter().map(Link::next_timer);
         links.chain([self.next_report, self.next_change]).min().unwrap_or(self.next_report)
     }
 
@@ -214,15 +192,8 @@
         let at = self.clock.unix(now);
         self.reports = self.reports.wrapping_add(1);
         if self.reports.is_multiple_of(ALIVE) {
-            let mut output = Vec::new();
-            frame::write(&ToPlanner::Alive, &mut output);
-            let up = |link: &&mut Link| matches!(link.state, State::Up { .. });
-            for conn in self.links.iter_mut().filter(up).filter_map(|link| link.conn.as_mut()) {
-                if conn.unwritten() < MOST_UNREAD {
-                    conn.push(&output);
-                    // A broken connection shows at the next read as well.
-                    let _ = conn.flush();
-                }
+            for link in self.links.iter_mut().filter(|link| link.is_up()) {
+                link.send_if_read(&ToPlanner::Alive);
             }
         }
         for partition in 0..self.partitions.len() {
@@ -230,17 +201,10 @@
             let partitions = &self.partitions;
             // Where two say that they lead, both hear the same, and the later term is gone by.
             for link in self.links.iter_mut().filter(leads) {
-                let Some(conn) = link.conn.as_mut().filter(|conn| conn.unwritten() < MOST_UNREAD) else {
-                    continue;
-                };
                 let is_of = |volume: VolumeId| deal::pick(volume.0, partitions) == Some(partition);
                 let demands = self.meter.demands(at, is_of);
                 let report = self.store.report(at, partition, demands, Vec::new());
-                let mut output = Vec::new();
-                frame::write(&ToPlanner::Report { partition: partition as u16, report }, &mut output);
-                conn.push(&output);
-                // A broken connection shows at the next read as well.
-                let _ = conn.flush();
+                link.send_if_read(&ToPlanner::Report { partition: partition as u16, report });
             }
         }
     }
@@ -267,14 +231,12 @@
                 Connecting::Pending => return,
                 Connecting::Failed => return self.lose(now, at, "no connection"),
                 Connecting::Up => {
-                    let mut output = Vec::new();
-                    let forwarder = self.name.clone();
-                    frame::write(&ToPlanner::Hello { schema: SCHEMA, forwarder }, &mut output);
-                    conn.push(&output);
-                    link.state = State::Up { heard: now };
+                    link.greet(now, &self.name);
+                    self.configure(|configuration| configuration.connected(at));
                 }
             }
         }
+        let Some(conn) = &mut self.links[at].conn else { return };
         let end = conn.read(MOST + HEAD);
         let flushed = conn.flush();
         loop {
@@ -293,6 +255,9 @@
     fn hear(&mut self, now: Instant, at: usize, message: FromPlanner) {
         let link = &mut self.links[at];
         link.state = State::Up { heard: now };
+        if let Some(configuration) = &mut self.configuration {
+            configuration.heard(now, at);
+        }
         match message {
             FromPlanner::Welcome { partitions } if usize::from(partitions) == self.partitions.len() => {
                 link.backoff.reset();
@@ -324,20 +289,46 @@
                 }
             }
             FromPlanner::Plan { .. } => {}
-            FromPlanner::Update(_) | FromPlanner::Quorum(_) | FromPlanner::OperatorReply(_) => {}
+            FromPlanner::Quorum(_) | FromPlanner::Update(_) if self.configuration.is_none() => {
+                tracing::debug!(planner = %link.address, "live configuration is off here");
+            }
+            FromPlanner::Quorum(quorum) => {
+                self.configure(|configuration| configuration.quorum(now, at, quorum));
+            }
+            FromPlanner::Update(update) => {
+                self.configure(|configuration| configuration.update(at, update));
+            }
+            FromPlanner::OperatorReply(_) => {
+                tracing::debug!(planner = %link.address, "an answer that nobody asked for");
+            }
         }
     }
 
     fn lose(&mut self, now: Instant, at: usize, why: &str) {
-        let link = &mut self.links[at];
-        if matches!(link.state, State::Up { .. }) {
-            tracing::warn!(planner = %link.address, "planner lost: {why}");
+        self.links[at].lose(now, why);
+        self.configure(|configuration| configuration.disconnected(at));
+    }
+
+    /// Where live configuration is on, does something in it and sends what is to be said then.
+    fn configure(&mut self, act: impl FnOnce(&mut Configuration) -> Vec<(usize, ToPlanner)>) {
+        let Some(configuration) = &mut self.configuration else { return };
+        for (at, message) in act(configuration) {
+            self.links[at].send(&message);
         }
-        // Guards a planner that comes back from a thousand forwarders at once.
-        let pause = link.backoff.pause();
-        link.conn = None;
-        link.leads.clear();
-        link.state = State::Down { retry: now + pause };
+    }
+
+    /// The newest revision that can be taken over; it is handed out once. Say with [`Planners::configuration_taken_over`]
+    /// that it was.
+    pub fn prepared_configuration(&mut self) -> Option<Prepared> {
+        self.configuration.as_mut()?.take_prepared()
+    }
+
+    /// A revision is in force here from now on. Demand is measured against its limits, and all planners learn it.
+    pub fn configuration_taken_over(&mut self, now: Instant, prepared: &Prepared) {
+        self.settings = prepared.settings.clone();
+        // Limits may have come, gone or changed.
+        self.next_change = now;
+        self.configure(|configuration| configuration.took_over(prepared));
     }
 
     /// Lines for `INFO`, and all of it as JSON.
@@ -363,10 +354,11 @@
             volumes: self.meter.volumes().count(),
             plans_taken: self.taken,
             plans_untaken: self.untaken,
+            configuration: self.configuration.as_ref().map(|configuration| configuration.report(now)),
         };
         let in_mode =
             |name: &str| report.partitions.iter().filter(|partition| partition.mode == name).count();
-        let lines = format!(
+        let mut lines = format!(
             "planners_partitions_planned:{}\r\nplanners_partitions_stale:{}\r\nplanners_partitions_safe:{}\r\n\
              planners_moves_ceded:{ceded}\r\nplanners_moves_granted:{granted}\r\nplanners_plans_taken:{}\r\n\
              planners_plans_untaken:{}\r\n",
@@ -376,6 +368,14 @@
             self.taken,
             self.untaken
         );
+        if let Some(configuration) = &report.configuration {
+            lines += &format!(
+                "configuration_number:{}\r\nconfiguration_age_ms:{}\r\nconfiguration_subscribed:{}\r\n",
+                configuration.number,
+                configuration.age_ms,
+                u8::from(configuration.source.is_some())
+            );
+        }
         // Nothing in it can fail to be written.
         (lines, serde_json::to_string(&report).unwrap_or_default())
     }
--- a/src/revisions/distribution.rs
+++ b/src/revisions/distribution.rs
@@ -1,7 +1,11 @@
 //! A planner's part in handing revisions on: which initiator holds what, who is to be sent what, who is missing.
 
-use super::{Acknowledgement, Revision, RevisionId, Update};
+use super::delta::Delta;
+use super::{
+    Acknowledgement, AcknowledgementOutcome, Revision, RevisionId, RevisionNumber, Update, UpdateContent,
+};
 use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// One connection of an initiator, by the server's number for it.
@@ -69,23 +73,340 @@
     pub silent_ms: u64,
 }
 
+/// The longest name of an initiator, in bytes; one with a longer name is sent nothing.
+pub const LONGEST_NAME: usize = 255;
+/// Initiators that are remembered. With more, those are forgotten first that have not been connected for the longest time.
+pub const MOST_INITIATORS: usize = 8192;
+/// How long an initiator is remembered that is not connected.
+pub const REMEMBERED: Duration = Duration::from_secs(24 * 60 * 60);
+/// Updates that are on their way at once, not yet acknowledged.
+pub const MOST_UNACKNOWLEDGED: usize = 64;
+/// Updates that are sent at most within one [`SPACING`]: 1,600 a second, so that many that come back at once are served one
+/// after the other.
+pub const MOST_IN_SPACING: usize = 16;
+/// See [`MOST_IN_SPACING`].
+pub const SPACING: Duration = Duration::from_millis(10);
+/// An update that is not acknowledged within this time is sent again, as a whole.
+pub const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often one revision is sent on one connection. An initiator that does not acknowledge any of them is left alone until
+/// the next revision, or until it subscribes again.
+pub const MOST_TRIES: u32 = 4;
+/// Revisions that changes can be made to; an initiator that holds an older one gets the whole.
+pub const KNOWN_REVISIONS: usize = 16;
+/// The longest reason of a refusal that is kept, in bytes.
+pub const LONGEST_REASON: usize = 512;
+
+/// What is remembered of one initiator.
+struct Initiator {
+    /// Its latest connection, while that lasts.
+    connection: Option<ConnectionId>,
+    in_force: RevisionId,
+    refused: Option<(RevisionId, String)>,
+    /// When it was connected last, where it is not.
+    heard: Duration,
+}
+
+/// What is known of one connection.
+struct Subscriber {
+    initiator: String,
+    subscribed: bool,
+    holds: RevisionId,
+    /// What it refused last, on this connection.
+    refused: Option<RevisionId>,
+    /// How often the newest revision was sent.
+    tries: u32,
+    /// Changes did not get through: it gets the whole next.
+    wants_whole: bool,
+    /// It waits in the queue.
+    queued: bool,
+}
+
+/// An update on its way.
+struct Unacknowledged {
+    id: RevisionId,
+    /// When it is sent again.
+    until: Duration,
+}
+
 /// Hands revisions on to the initiators that are connected to one planner.
 #[derive(Default)]
-pub struct Distributor {}
+pub struct Distributor {
+    initiators: BTreeMap<String, Initiator>,
+    connections: BTreeMap<ConnectionId, Subscriber>,
+    /// The newest revisions, in order.
+    known: VecDeque<Revision>,
+    /// Contents of updates to the newest revision, by the revision that they lead on from; none: the whole.
+    contents: BTreeMap<Option<RevisionNumber>, UpdateContent>,
+    /// Who is to be sent the newest revision, in the order of asking.
+    queue: VecDeque<ConnectionId>,
+    /// Who was sent an update and has not answered.
+    unacknowledged: BTreeMap<ConnectionId, Unacknowledged>,
+    /// When the present spacing ends, and how many updates were sent in it.
+    spacing_end: Duration,
+    sent_in_spacing: usize,
+}
 
 impl Distributor {
     /// Takes one event, at a time that only grows.
-    pub fn handle(&mut self, _now: Duration, _event: Event, _actions: &mut Vec<Action>) {
-        todo!()
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Connected { connection, initiator } => self.connect(now, connection, initiator),
+            Event::Disconnected(connection) => self.disconnect(now, connection),
+            Event::Subscribed { connection, holds } => self.subscribe(connection, holds),
+            Event::Unsubscribed(connection) => self.unsubscribe(connection),
+            Event::Acknowledged { connection, acknowledgement } => {
+                self.acknowledge(connection, acknowledgement)
+            }
+            Event::Accepted(revision) => self.accept(revision),
+            Event::Tick => {}
+        }
+        self.time_out(now);
+        self.send_queued(now, actions);
     }
 
     /// When [`Event::Tick`] is due, if it is.
     pub fn next_timer(&self) -> Option<Duration> {
-        todo!()
+        let timeout = self.unacknowledged.values().map(|sent| sent.until).min();
+        let may_send = !self.queue.is_empty() && self.unacknowledged.len() < MOST_UNACKNOWLEDGED;
+        timeout.into_iter().chain(may_send.then_some(self.spacing_end)).min()
     }
 
     /// All initiators that are connected, or were within the last day; sorted by name.
-    pub fn status(&self, _now: Duration) -> Vec<InitiatorStatus> {
-        todo!()
+    pub fn status(&self, now: Duration) -> Vec<InitiatorStatus> {
+        let remembered = self.initiators.iter().filter(|(_, initiator)| !initiator.is_forgotten(now));
+        remembered.map(|(name, initiator)| initiator.status(name, now)).collect()
+    }
+
+    fn connect(&mut self, now: Duration, connection: ConnectionId, name: String) {
+        if name.len() > LONGEST_NAME {
+            return;
+        }
+        self.disconnect(now, connection);
+        // Of two connections of one name the later counts: the earlier is of a process that has gone.
+        if let Some(earlier) = self.initiators.get(&name).and_then(|initiator| initiator.connection) {
+            self.disconnect(now, earlier);
+        }
+        self.make_room(now, &name);
+        let none = RevisionId::none();
+        if self.initiators.len() < MOST_INITIATORS || self.initiators.contains_key(&name) {
+            let fresh = Initiator { connection: None, in_force: none, refused: None, heard: now };
+            self.initiators.entry(name.clone()).or_insert(fresh).connection = Some(connection);
+        }
+        let subscriber = Subscriber {
+            initiator: name,
+            subscribed: false,
+            holds: none,
+            refused: None,
+            tries: 0,
+            wants_whole: false,
+            queued: false,
+        };
+        self.connections.insert(connection, subscriber);
+    }
+
+    /// Forgets who has not been connected for long, where there is no room for another name.
+    fn make_room(&mut self, now: Duration, name: &str) {
+        if self.initiators.len() < MOST_INITIATORS || self.initiators.contains_key(name) {
+            return;
+        }
+        self.initiators.retain(|_, initiator| !initiator.is_forgotten(now));
+        if self.initiators.len() < MOST_INITIATORS {
+            return;
+        }
+        let gone = self.initiators.iter().filter(|(_, initiator)| initiator.connection.is_none());
+        let longest_gone = gone.min_by_key(|(_, initiator)| initiator.heard).map(|(name, _)| name.clone());
+        if let Some(name) = longest_gone {
+            self.initiators.remove(&name);
+        }
+    }
+
+    fn disconnect(&mut self, now: Duration, connection: ConnectionId) {
+        self.unacknowledged.remove(&connection);
+        let Some(subscriber) = self.connections.remove(&connection) else { return };
+        if subscriber.queued {
+            self.queue.retain(|queued| *queued != connection);
+        }
+        let initiator = self.initiators.get_mut(&subscriber.initiator);
+        if let Some(initiator) = initiator.filter(|initiator| initiator.connection == Some(connection)) {
+            (initiator.connection, initiator.heard) = (None, now);
+        }
+    }
+
+    fn subscribe(&mut self, connection: ConnectionId, holds: RevisionId) {
+        let Some(subscriber) = self.connections.get_mut(&connection) else { return };
+        subscriber.subscribed = true;
+        (subscriber.holds, subscriber.tries, subscriber.wants_whole) = (holds, 0, false);
+        self.unacknowledged.remove(&connection);
+        if let Some(initiator) = self.initiators.get_mut(&subscriber.initiator) {
+            initiator.in_force = holds;
+        }
+        self.enqueue(connection);
+    }
+
+    fn unsubscribe(&mut self, connection: ConnectionId) {
+        self.unacknowledged.remove(&connection);
+        if let Some(subscriber) = self.connections.get_mut(&connection) {
+            subscriber.subscribed = false;
+        }
+    }
+
+    fn acknowledge(&mut self, connection: ConnectionId, acknowledgement: Acknowledgement) {
+        let Some(subscriber) = self.connections.get_mut(&connection) else { return };
+        let initiator = self.initiators.get_mut(&subscriber.initiator);
+        let sent = self.unacknowledged.remove(&connection);
+        let Acknowledgement { id, outcome } = acknowledgement;
+        match outcome {
+            AcknowledgementOutcome::InForce => {
+                // One that was sent an update and holds something else has a gap.
+                subscriber.wants_whole = sent.is_some_and(|sent| sent.id != id);
+                if id.number > subscriber.holds.number {
+                    subscriber.tries = 0;
+                }
+                subscriber.holds = id;
+                if let Some(initiator) = initiator {
+                    initiator.in_force = id;
+                    initiator.refused.take_if(|(refused, _)| refused.number <= id.number);
+                }
+            }
+            AcknowledgementOutcome::Refused(why) => {
+                subscriber.refused = Some(id);
+                if let Some(initiator) = initiator {
+                    initiator.refused = Some((id, shortened(why)));
+                }
+            }
+        }
+        self.enqueue(connection);
+    }
+
+    fn accept(&mut self, revision: Revision) {
+        if self.known.back().is_some_and(|newest| newest.id.number >= revision.id.number) {
+            return;
+        }
+        self.known.push_back(revision);
+        if self.known.len() > KNOWN_REVISIONS {
+            self.known.pop_front();
+        }
+        self.contents.clear();
+        for subscriber in self.connections.values_mut() {
+            subscriber.tries = 0;
+        }
+        let connections: Vec<ConnectionId> = self.connections.keys().copied().collect();
+        connections.into_iter().for_each(|connection| self.enqueue(connection));
+    }
+
+    /// Sends again what was not acknowledged in time.
+    fn time_out(&mut self, now: Duration) {
+        let due = self.unacknowledged.iter().filter(|(_, sent)| sent.until <= now);
+        let due: Vec<ConnectionId> = due.map(|(connection, _)| *connection).collect();
+        for connection in due {
+            self.unacknowledged.remove(&connection);
+            if let Some(subscriber) = self.connections.get_mut(&connection) {
+                subscriber.wants_whole = true;
+            }
+            self.enqueue(connection);
+        }
+    }
+
+    /// Whether a connection is to be sent the newest revision.
+    fn lacks_newest(&self, connection: ConnectionId) -> bool {
+        let (Some(subscriber), Some(newest)) = (self.connections.get(&connection), self.known.back()) else {
+            return false;
+        };
+        subscriber.subscribed
+            && subscriber.holds.number < newest.id.number
+            && subscriber.refused != Some(newest.id)
+            && subscriber.tries < MOST_TRIES
+            && !self.unacknowledged.contains_key(&connection)
+    }
+
+    fn enqueue(&mut self, connection: ConnectionId) {
+        if !self.lacks_newest(connection) {
+            return;
+        }
+        let Some(subscriber) = self.connections.get_mut(&connection) else { return };
+        if !subscriber.queued {
+            subscriber.queued = true;
+            self.queue.push_back(connection);
+        }
+    }
+
+    fn send_queued(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.spacing_end <= now {
+            (self.spacing_end, self.sent_in_spacing) = (now + SPACING, 0);
+        }
+        while self.unacknowledged.len() < MOST_UNACKNOWLEDGED && self.sent_in_spacing < MOST_IN_SPACING {
+            let Some(connection) = self.queue.pop_front() else { return };
+            if let Some(subscriber) = self.connections.get_mut(&connection) {
+                subscriber.queued = false;
+            }
+            // What it lacks may have come to it in another way since.
+            if !self.lacks_newest(connection) {
+                continue;
+            }
+            if let Some(update) = self.update_for(connection) {
+                self.sent_in_spacing += 1;
+                let until = now + ACKNOWLEDGEMENT_TIMEOUT;
+                self.unacknowledged.insert(connection, Unacknowledged { id: update.id, until });
+                actions.push(Action::Send { connection, update });
+            }
+        }
+    }
+
+    /// What leads a connection to the newest revision.
+    fn update_for(&mut self, connection: ConnectionId) -> Option<Update> {
+        let subscriber = self.connections.get_mut(&connection)?;
+        subscriber.tries += 1;
+        let newest = self.known.back()?;
+        let held = self.known.iter().find(|revision| revision.id == subscriber.holds);
+        let base = held.filter(|_| !subscriber.wants_whole);
+        let key = base.map(|revision| revision.id.number);
+        let content = self.contents.entry(key).or_insert_with(|| content_between(base, newest));
+        Some(Update { id: newest.id, content: content.clone() })
+    }
+}
+
+impl Initiator {
+    fn is_forgotten(&self, now: Duration) -> bool {
+        self.connection.is_none() && now.saturating_sub(self.heard) >= REMEMBERED
+    }
+
+    fn status(&self, name: &str, now: Duration) -> InitiatorStatus {
+        let connected = self.connection.is_some();
+        let silent = if connected { Duration::ZERO } else { now.saturating_sub(self.heard) };
+        InitiatorStatus {
+            initiator: name.to_string(),
+            connected,
+            in_force: self.in_force,
+            refused: self.refused.clone(),
+            silent_ms: silent.as_millis() as u64,
+        }
+    }
+}
+
+/// The changes from one revision to the newest, where they are shorter than the whole; otherwise that.
+fn content_between(base: Option<&Revision>, newest: &Revision) -> UpdateContent {
+    let whole = UpdateContent::Whole(newest.document.clone());
+    let Some(base) = base else { return whole };
+    let delta = Delta::between(&base.document, &newest.document);
+    let changes = UpdateContent::Changes { base: base.id, delta };
+    if encoded_length(&changes) < encoded_length(&whole) {
+        changes
+    } else {
+        whole
     }
 }
+
+/// Bytes of a content on the link.
+fn encoded_length(content: &UpdateContent) -> usize {
+    // What can't be encoded is not sent either.
+    postcard::to_stdvec(content).map_or(usize::MAX, |bytes| bytes.len())
+}
+
+/// A reason, cut to what is kept of it.
+fn shortened(mut why: String) -> String {
+    why.truncate(why.floor_char_boundary(LONGEST_REASON));
+    why
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/shares/meter.rs
+++ b/src/shares/meter.rs
@@ -42,6 +42,8 @@
         volume.rate = volume.faded(now) + new.units.max(0.0) / MEMORY.as_secs_f64();
         // Of two numbers of hosts that clients tell the greater counts: it claims less.
         (volume.at, volume.even) = (now, volume.even.min(even));
+        // Live configuration may have changed it since the last request.
+        volume.limit = limit.rate;
     }
 
     /// The even part of a volume that is metered.
