--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -174,7 +174,16 @@
             let (addresses, settings) = (&config.planners, settings.clone());
             let (partitions, name) = (config.partitions, config.name.as_str());
             let names = None;
-            Planners::new(addresses, partitions, name, settings, names, config.seed, (clock, now), &mut tokens)
+            Planners::new(
+                addresses,
+                partitions,
+                name,
+                settings,
+                names,
+                config.seed,
+                (clock, now),
+                &mut tokens,
+            )
         });
         let mut planner = Planner::new(settings, config.seed, clock);
         let mut core = Core::new(clock, retry_after);
--- a/src/planner/client/configuration.rs
+++ b/src/planner/client/configuration.rs
@@ -63,8 +63,12 @@
 impl Configuration {
     /// Has nothing but the settings of the files, and no planner yet.
     pub fn new(base: Settings, names: Names, initiator: &str, planners: &[SocketAddr], now: Instant) -> Self {
-        let source =
-            |address: &SocketAddr| Source { address: *address, connected: false, quorum: None, was_subscribed: false };
+        let source = |address: &SocketAddr| Source {
+            address: *address,
+            connected: false,
+            quorum: None,
+            was_subscribed: false,
+        };
         let candidates: Vec<u64> = planners.iter().map(|address| deal::hash(&address.to_string())).collect();
         Configuration {
             follower: Follower::new(base, names),
@@ -206,3 +210,6 @@
         messages
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/planner/client/mod.rs
+++ b/src/planner/client/mod.rs
@@ -90,7 +90,8 @@
         tokens: &mut Tokens,
     ) -> Self {
         let link = |address: &SocketAddr| Link::new(*address, tokens.next(Kind::Planner), seed, now);
-        let configuration = names.map(|names| Configuration::new(settings.clone(), names, name, addresses, now));
+        let configuration =
+            names.map(|names| Configuration::new(settings.clone(), names, name, addresses, now));
         let forwarder = ForwarderId(deal::hash(name));
         Planners {
             name: name.to_string(),
@@ -380,3 +381,6 @@
         (lines, serde_json::to_string(&report).unwrap_or_default())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/revisions/distribution.rs
+++ b/src/revisions/distribution.rs
@@ -253,12 +253,18 @@
     fn acknowledge(&mut self, connection: ConnectionId, acknowledgement: Acknowledgement) {
         let Some(subscriber) = self.connections.get_mut(&connection) else { return };
         let initiator = self.initiators.get_mut(&subscriber.initiator);
-        let sent = self.unacknowledged.remove(&connection);
         let Acknowledgement { id, outcome } = acknowledgement;
+        // It also says what came of updates of other planners, which answers nothing here.
+        let sent = self.unacknowledged.get(&connection).map(|sent| sent.id);
+        let has_gap = sent.is_some_and(|sent| sent != id)
+            && subscriber.holds == id
+            && outcome == AcknowledgementOutcome::InForce;
+        if has_gap || sent == Some(id) {
+            self.unacknowledged.remove(&connection);
+        }
         match outcome {
             AcknowledgementOutcome::InForce => {
-                // One that was sent an update and holds something else has a gap.
-                subscriber.wants_whole = sent.is_some_and(|sent| sent.id != id);
+                subscriber.wants_whole = has_gap;
                 if id.number > subscriber.holds.number {
                     subscriber.tries = 0;
                 }
