A revision that the forwarder can't take over is refused towards all planners

A takeover may still fail after the revision was checked; without a word of it the planners would send it again and operators would see no reason.

--- a/src/planner/client/configuration.rs
+++ b/src/planner/client/configuration.rs
@@ -154,6 +154,12 @@
         self.to_all(&in_force)
     }
 
+    /// A revision that was handed out is not in force, and won't be: all planners learn why.
+    pub fn could_not_take_over(&mut self, prepared: &Prepared, why: String) -> Vec<Message> {
+        let refused = self.follower.could_not_take_over(prepared, why);
+        self.to_all(&refused)
+    }
+
     pub fn report(&self, now: Instant) -> ConfigurationReport {
         let in_force = self.follower.in_force();
         let source = self.subscribed.and_then(|at| self.sources.get(at));
--- a/src/planner/client/configuration/tests.rs
+++ b/src/planner/client/configuration/tests.rs
@@ -144,6 +144,20 @@
     assert_eq!(it.connected(second).len(), 2, "what is in force, and what was refused");
 }
 
+#[test]
+fn what_cannot_be_taken_over_is_told_to_all_planners() {
+    let now = Instant::now();
+    let mut it = connected(now);
+    let [first, ..] = preference(&it);
+    it.update(first, update(1, "base"));
+    let prepared = it.take_prepared().unwrap();
+    let said = it.could_not_take_over(&prepared, "no".into());
+    let outcome = AcknowledgementOutcome::Refused("no".into());
+    let refused = ToPlanner::Acknowledge(Acknowledgement { id: prepared.id, outcome });
+    assert_eq!(said, (0..3).map(|at| (at, refused.clone())).collect::<Vec<Message>>());
+    assert_eq!(it.report(now).number, 0);
+}
+
 #[test]
 fn updates_come_from_planners_that_it_has_subscribed_to() {
     let now = Instant::now();
--- a/src/planner/client/mod.rs
+++ b/src/planner/client/mod.rs
@@ -319,7 +319,7 @@
     }
 
     /// The newest revision that can be taken over; it is handed out once. Say with [`Planners::configuration_taken_over`]
-    /// that it was.
+    /// that it was, or with [`Planners::configuration_not_taken_over`] why it could not be.
     pub fn prepared_configuration(&mut self) -> Option<Prepared> {
         self.configuration.as_mut()?.take_prepared()
     }
@@ -332,6 +332,12 @@
         self.configure(|configuration| configuration.took_over(prepared));
     }
 
+    /// A prepared revision can't be taken over, for this reason; what was in force still is, and all planners learn it.
+    pub fn configuration_not_taken_over(&mut self, prepared: &Prepared, why: String) {
+        tracing::warn!("revision {} is refused: {why}", prepared.id);
+        self.configure(|configuration| configuration.could_not_take_over(prepared, why));
+    }
+
     /// Lines for `INFO`, and all of it as JSON.
     pub fn info(&self, now: Instant) -> (String, String) {
         let at = self.clock.unix(now);
--- a/src/revisions/follower.rs
+++ b/src/revisions/follower.rs
@@ -112,6 +112,14 @@
         self.acknowledge_in_force()
     }
 
+    /// What was prepared can't be taken over after all, for this reason; says so to the planners. What is in force is so on.
+    pub fn could_not_take_over(&mut self, prepared: &Prepared, why: String) -> Acknowledgement {
+        if self.is_prepared(prepared.id) {
+            self.prepared.remove(&prepared.id.number);
+        }
+        self.refuse(prepared.id, why)
+    }
+
     /// The newest number that is in force or prepared.
     fn newest(&self) -> RevisionNumber {
         let prepared = self.prepared.last_key_value().map(|(number, _)| *number);
--- a/src/revisions/follower/tests.rs
+++ b/src/revisions/follower/tests.rs
@@ -166,6 +166,20 @@
     assert_eq!(follower.refused(), None);
 }
 
+#[test]
+fn what_cannot_be_taken_over_is_refused_and_the_next_is_taken() {
+    let mut follower = follower();
+    take(&mut follower, whole(1, &document(30.0)));
+    let prepared = follower.prepare(whole(2, &document(40.0))).unwrap();
+    let outcome = AcknowledgementOutcome::Refused("it does not fit".into());
+    let refused = follower.could_not_take_over(&prepared, "it does not fit".into());
+    assert_eq!(refused, Acknowledgement { id: prepared.id, outcome });
+    assert_eq!(follower.refused(), Some(&(prepared.id, "it does not fit".to_string())));
+    assert_eq!(follower.took_over(&prepared), in_force(id(1, &document(30.0))));
+    take(&mut follower, changes((1, &document(30.0)), (3, &document(40.0))));
+    assert_eq!(follower.refused(), None);
+}
+
 #[test]
 fn figures_out_of_range_are_refused() {
     let mut follower = follower();
