--- a/src/revisions/document.rs
+++ b/src/revisions/document.rs
@@ -230,4 +230,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(super) mod tests;
--- a/src/revisions/document/figures.rs
+++ b/src/revisions/document/figures.rs
@@ -84,13 +84,15 @@
         plans: named(&table, "plans", &PLAN_KEYS)?,
         costs: section(&table, "costs", &COST_KEYS)?,
         limits: section(&table, "limits", &LIMIT_KEYS)?,
-        nodes_out: table.get("nodes_out").map_or_else(|| Ok(Default::default()), |it| value("nodes_out", it))?,
+        nodes_out: table
+            .get("nodes_out")
+            .map_or_else(|| Ok(Default::default()), |it| value("nodes_out", it))?,
     })
 }
 
 fn not_toml(text: &str, error: &toml::de::Error) -> DocumentError {
     let before = error.span().and_then(|span| text.get(..span.start)).unwrap_or_default();
-    DocumentError::new(format!("line {}: {}", before.lines().count().max(1), error.message()))
+    DocumentError::new(format!("line {}: {}", before.matches('\n').count() + 1, error.message()))
 }
 
 /// Refuses a key that is none of these. `place` is what stands before it, up to the dot.
