--- a/src/forwarder/configuration.rs
+++ b/src/forwarder/configuration.rs
@@ -27,7 +27,7 @@
         let retry_after = self.config.settings.limits.max_retry_after;
         self.core.set_retry_after(retry_after);
         self.resp.protocol_mut().retry_after = retry_after;
-        for front in &mut self.iscsi {
+        if let Some(front) = &mut self.iscsi {
             front.protocol_mut().reconfigure(&self.config.settings);
         }
         self.take_nodes_out(now, &prepared.nodes_out);
--- a/src/rules/reconfigure.rs
+++ b/src/rules/reconfigure.rs
@@ -48,7 +48,7 @@
             let (terms, share) = (volume.terms, self.shares.get(id));
             let before = limit_part(&self.settings, terms, share);
             match (before, limit_part(settings, terms, share)) {
-                (before, after) if before == after => {}
+                (Some(before), Some(after)) if before == after => {}
                 (Some((rate, burst)), after) => {
                     volume.limit.fill(now, rate, burst);
                     volume.limit.level = volume.limit.level.min(after.map_or(0.0, |(_, burst)| burst));
