--- a/src/forwarder/configuration/tests.rs
+++ b/src/forwarder/configuration/tests.rs
@@ -1,8 +1,8 @@
 use super::*;
 use crate::config::Files;
-use crate::core::{Answer, Content, Effect, Operation, Origin};
+use crate::core::{Answer, AttemptId, Content, Effect, Operation, Origin};
 use crate::discovery::{Endpoint, ListMessage, News, Status};
-use crate::interface::{Event, ListKind, NewRequest, NodeEntry, NodeState};
+use crate::interface::{Event, ListKind, NewRequest, NodeEntry, NodeState, RequestId};
 use crate::process::Signals;
 use crate::revisions::document::Document;
 use crate::revisions::{RevisionId, RevisionNumber};
@@ -23,7 +23,7 @@
  "domain":{"largest":8,"unit_mean":2,"share_worth":0.35,"idle_worth":0.05,"young_limit":34},
  "contract":{"grace_to_answer_ms":8,"drain_grace_ms":2000,"cold_from":0.16,"warm_after_ms":18000,
   "tip_multiple":3,"fall_ms":3000},
- "limits":{"attempts_cap":4,"connect_timeout_ms":250,"conn_idle_ms":30000,"max_retry_after_ms":500,
+ "limits":{"attempts_cap":4,"connect_timeout_ms":60000,"conn_idle_ms":30000,"max_retry_after_ms":500,
   "retry_after":true,"may_cancel":true}}}"#;
 
 const ISCSI: &str = r#"
@@ -119,6 +119,18 @@
     entries.flatten().collect()
 }
 
+fn content() -> Content {
+    Content {
+        operation: Operation::Read,
+        object: "o".into(),
+        id: "1".into(),
+        attributes: String::new(),
+        body: Vec::new(),
+        flow: None,
+        extent: None,
+    }
+}
+
 #[test]
 fn every_part_that_holds_a_figure_gets_the_new_one() {
     let folder = Folder::new("configuration");
@@ -138,18 +150,9 @@
     assert_eq!(forwarder.resp.protocol_mut().retry_after, again);
     let (offered, retry_after) = forwarder.iscsi.as_mut().unwrap().protocol_mut().figures();
     assert_eq!((offered.exports[0].units[&0].most_bytes, retry_after), (7 * 4096, again));
-    let content = Content {
-        operation: Operation::Read,
-        object: "o".into(),
-        id: "1".into(),
-        attributes: String::new(),
-        body: Vec::new(),
-        flow: None,
-        extent: None,
-    };
     let deadline = forwarder.clock.unix(Instant::now()) + Duration::from_secs(1);
     let new = NewRequest { deadline, ..NewRequest::default() };
-    forwarder.core.take(Origin { conn: 1, place: 0 }, new, content).unwrap();
+    forwarder.core.take(Origin { conn: 1, place: 0 }, new, content()).unwrap();
     forwarder.core.end_all();
     let refused = |effect: &Effect| matches!(effect, Effect::Answer { answer: Answer::Refused { retry_after }, .. } if *retry_after == again);
     assert!(forwarder.core.drain_effects().iter().any(refused));
@@ -208,3 +211,23 @@
     let read = crate::config::Config::read(&forwarder.files).unwrap();
     assert_eq!(forwarder.config.fixed_changes(&read), Vec::<&str>::new());
 }
+
+/// An attempt that waits for its connection is not to begin after the grace of a node that was taken out meanwhile.
+#[test]
+fn what_has_not_begun_at_a_node_that_is_taken_out_ends_with_its_grace() {
+    let folder = Folder::new("configuration-unsent");
+    let mut forwarder = start(&folder);
+    list_nodes(&mut forwarder, &["s-1"]);
+    let node = told(&mut forwarder).pop().unwrap().node;
+    let (now, late) = (Instant::now(), Instant::now() + Duration::from_secs(50));
+    let attempt = AttemptId { request: RequestId(1), number: 0 };
+    let content = std::rc::Rc::new(content());
+    forwarder.carry_out(now, Effect::Start { attempt, node, content, give_up_at: late, begin_by: late });
+    let base = forwarder.config.settings.clone();
+    let prepared = prepare(&forwarder, &base, 1, "nodes_out = ['s-1']");
+    forwarder.take_over_configuration(now, &prepared).unwrap();
+    forwarder.targets.tick(now + Duration::from_millis(1900));
+    assert!(forwarder.targets.ended.is_empty());
+    forwarder.targets.tick(now + Duration::from_millis(2100));
+    assert_eq!(forwarder.targets.ended.len(), 1);
+}
--- a/src/rules/reconfigure.rs
+++ b/src/rules/reconfigure.rs
@@ -27,9 +27,6 @@
         if !keeps_what_is_fixed(&self.settings, &settings) {
             return Err(FixedSettings);
         }
-        if settings == self.settings {
-            return Ok(());
-        }
         let now = now.max(self.now);
         self.change_limits(now, &settings);
         self.change_cold(now, &settings);
--- a/src/rules/reconfigure/tests.rs
+++ b/src/rules/reconfigure/tests.rs
@@ -389,3 +389,21 @@
     let history = |class: usize| scheduler.classes[class].history[0];
     assert_eq!((history(0), history(1)), ((0.6, 4.0), (1.2, 4.0)));
 }
+
+/// What many held requests are ranked by is reckoned once at a time, with the units of the largest request.
+#[test]
+fn what_was_reckoned_with_old_figures_is_reckoned_again() {
+    let (mut scheduler, start) = waiting(settings(), 1);
+    let demand = |scheduler: &Scheduler| {
+        let volume = &scheduler.volumes[&VolumeId(7)];
+        volume.demand(start, scheduler.settings.units.largest)
+    };
+    let volume = scheduler.volumes.get_mut(&VolumeId(7)).unwrap();
+    volume.told = 20.0;
+    volume.reckoned.take();
+    let before = demand(&scheduler);
+    let mut changed = settings();
+    changed.units.largest = 4.0;
+    scheduler.reconfigure(start, changed).unwrap();
+    assert!((demand(&scheduler) - before).abs() > 1e-3, "{before}");
+}
