The loop takes over what planners' links have prepared, and tells planners why it can't

Joins the initiator's side of live configuration: names are handed to the planners' link where deploy/planners.toml says configuration = true, and a prepared revision is taken over between two rounds of decisions.

--- a/src/forwarder/configuration.rs
+++ b/src/forwarder/configuration.rs
@@ -4,12 +4,26 @@
 use super::Forwarder;
 use crate::config::Wire;
 use crate::interface::Settings;
+use crate::planner::client::Planners;
 use crate::revisions::follower::Prepared;
 use crate::rules::reconfigure::FixedSettings;
 use std::collections::BTreeSet;
 use std::time::Instant;
 
 impl Forwarder {
+    /// Takes over the newest revision that planners have sent, if one waits, and tells them what became of it.
+    pub(super) fn follow_configuration(&mut self, now: Instant) {
+        let Some(prepared) = self.planners.as_mut().and_then(Planners::prepared_configuration) else {
+            return;
+        };
+        let taken = self.take_over_configuration(now, &prepared);
+        let Some(planners) = &mut self.planners else { return };
+        match taken {
+            Ok(()) => planners.configuration_taken_over(now, &prepared),
+            Err(why) => planners.configuration_not_taken_over(&prepared, why.to_string()),
+        }
+    }
+
     /// Works by a revision from now on. What the process itself sets at its start stands: the revision was prepared from
     /// the settings that were in force then.
     ///
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -174,7 +174,7 @@
         let planners = (!config.planners.is_empty()).then(|| {
             let (addresses, settings) = (&config.planners, settings.clone());
             let (partitions, name) = (config.partitions, config.name.as_str());
-            let names = None;
+            let names = config.live_configuration.then(|| config.names());
             Planners::new(
                 addresses,
                 partitions,
@@ -310,7 +310,7 @@
                     self.core.set_report(client::REPORT, lines, json);
                 }
             }
-            self.take_over_prepared(now);
+            self.follow_configuration(now);
             self.plan(now);
             if self.state.ending().is_some_and(|since| self.shut_down(now, now - since)) {
                 self.upgrade.end();
@@ -323,13 +323,6 @@
         }
     }
 
-    fn take_over_prepared(&mut self, now: Instant) {
-        let Some(planners) = &mut self.planners else { return };
-        if let Some(prepared) = planners.prepared_configuration() {
-            planners.configuration_taken_over(now, &prepared);
-        }
-    }
-
     /// Follows the addresses that move, before anything else that is ready.
     fn serve(&mut self, now: Instant, events: &Events) {
         let came = |token: &Token| events.iter().any(|event| event.token() == *token);
