--- /dev/null
+++ b/src/revisions/agreement/tests/state.rs
@@ -0,0 +1,100 @@
+//! The state machine by itself.
+
+use super::*;
+use crate::revisions::agreement::machine::Machine;
+
+fn fill(machine: &mut Machine, from: u128, count: u128) {
+    for id in from..from + count {
+        let expected = machine.newest().map_or_else(RevisionId::none, |newest| newest.id);
+        assert!(machine.apply(proposal(id, expected)).accepted.is_some());
+    }
+}
+
+#[test]
+fn only_what_saw_the_newest_becomes_a_revision() {
+    let mut machine = Machine::new();
+    fill(&mut machine, 1, 3);
+    let newest = machine.newest().unwrap().id;
+    let older = machine.revision(RevisionNumber(2)).unwrap().id;
+    let forged = RevisionId { number: newest.number, hash: older.hash };
+    for (id, expected) in [(10, older), (11, RevisionId::none()), (12, forged)] {
+        let applied = machine.apply(proposal(id, expected));
+        assert_eq!(applied.outcome, Err(ProposalError::Conflict { newest }));
+        assert_eq!(applied.accepted, None);
+    }
+    assert_eq!(machine.apply(proposal(13, newest)).outcome.unwrap().number, RevisionNumber(4));
+}
+
+#[test]
+fn going_back_is_a_new_revision_with_the_old_content() {
+    let mut machine = Machine::new();
+    fill(&mut machine, 1, 2);
+    let mut back = proposal(3, machine.newest().unwrap().id);
+    back.document = machine.revision(RevisionNumber(1)).unwrap().document.clone();
+    let id = machine.apply(back).outcome.unwrap();
+    assert_eq!(
+        (id.number, id.hash),
+        (RevisionNumber(3), machine.revision(RevisionNumber(1)).unwrap().id.hash)
+    );
+    // Its author's view is not taken for the older revision of the same content.
+    let mut stale = proposal(4, RevisionId { number: RevisionNumber(1), hash: id.hash });
+    stale.document = document(50.0);
+    assert!(machine.apply(stale).outcome.is_err());
+}
+
+#[test]
+fn an_invalid_document_in_the_log_becomes_nothing() {
+    let mut machine = Machine::new();
+    let mut spoilt = proposal(1, RevisionId::none());
+    spoilt.document = document(-4.0);
+    assert!(matches!(machine.apply(spoilt).outcome, Err(ProposalError::Invalid(_))));
+    assert_eq!(machine.newest(), None);
+}
+
+#[test]
+fn history_and_outcomes_are_bounded_and_survive_a_snapshot() {
+    let mut machine = Machine::new();
+    fill(&mut machine, 1, KEPT_OUTCOMES as u128 + 10);
+    assert!(machine.outcome(ProposalId(10)).is_none());
+    assert!(machine.outcome(ProposalId(11)).is_some());
+    let newest = machine.number().0;
+    assert!(machine.revision(RevisionNumber(newest - KEPT_REVISIONS as u64)).is_none());
+    assert!(machine.revision(RevisionNumber(newest - KEPT_REVISIONS as u64 + 1)).is_some());
+    assert!(machine.revision(RevisionNumber(newest + 1)).is_none());
+    assert_eq!(machine.after(RevisionNumber(newest - 2)).count(), 2);
+    // One whose outcome is no longer remembered is not accepted again.
+    assert!(machine.apply(proposal(1, RevisionId::none())).outcome.is_err());
+    assert_eq!(Machine::decode(&machine.encode()), Some(machine.clone()));
+    let mut bytes = machine.encode();
+    bytes[10] ^= 1;
+    assert_eq!(Machine::decode(&bytes), None);
+    assert_eq!(Machine::decode(&machine.encode()[..50]), None);
+}
+
+#[test]
+fn a_snapshot_of_the_longest_revisions_fits_a_message() {
+    let mut machine = Machine::new();
+    let mut room = LONGEST_DOCUMENT;
+    let long = |id: u128, room: usize, expected| {
+        let mut long = proposal(id, expected);
+        long.author = "a".repeat(LONGEST_AUTHOR);
+        long.document.nodes_out.insert("n".repeat(room));
+        long
+    };
+    while long(0, room, RevisionId::none()).document.check().is_err() {
+        room -= 1;
+    }
+    for id in 0..KEPT_REVISIONS as u128 {
+        let expected = machine.newest().map_or_else(RevisionId::none, |newest| newest.id);
+        let longest = long(id, room - 8, expected);
+        assert!(postcard::to_allocvec(&longest).unwrap().len() <= LONGEST_PROPOSAL);
+        assert!(machine.apply(longest).accepted.is_some());
+    }
+    for id in 0..KEPT_OUTCOMES as u128 {
+        let mut refused = proposal(1_000 + id, RevisionId::none());
+        refused.author = "a".repeat(LONGEST_AUTHOR + 1);
+        assert!(machine.apply(refused).outcome.is_err());
+    }
+    let size = machine.encode().len();
+    assert!(size > KEPT_REVISIONS * room - 1_000 && size + 1_000 < LONGEST_MESSAGE, "{size}");
+}
--- /dev/null
+++ b/src/revisions/agreement/wire.rs
@@ -0,0 +1,196 @@
+//! Messages between replicas: a head that says the format, the group and a checksum, then the `raft` crate's encoding.
+//!
+//! The crate panics on some messages that no sound replica sends. All that could is refused here first.
+
+use super::machine::Machine;
+use super::{Proposal, LONGEST_MESSAGE, LONGEST_PROPOSAL};
+use crate::revisions::store::{GroupId, Identity};
+use protobuf::Message as _;
+use raft::eraftpb::{ConfState, Entry, EntryType, Message, MessageType};
+use sha2::{Digest, Sha256};
+
+/// The format of the head and of what follows it.
+const FORMAT: u8 = 1;
+const GROUP_END: usize = 17;
+const HEAD_BYTES: usize = 25;
+/// Above all terms and indexes that can occur: additions can't overflow.
+const HIGHEST: u64 = 1 << 60;
+
+/// What a replica knows that a message is held against.
+pub(super) struct Expectation<'a> {
+    pub identity: &'a Identity,
+    pub term: u64,
+    pub last_index: u64,
+    pub leads: bool,
+}
+
+/// Encodes a message of this group.
+pub(super) fn encode(group: &GroupId, message: &Message) -> Vec<u8> {
+    let payload = message.write_to_bytes().unwrap_or_default();
+    let mut bytes = Vec::with_capacity(HEAD_BYTES + payload.len());
+    bytes.push(FORMAT);
+    bytes.extend(group.0);
+    bytes.extend(checksum(group, &payload));
+    bytes.extend(payload);
+    bytes
+}
+
+/// Decodes a message.
+///
+/// # Errors
+///
+/// It is none of this group, of another format, spoilt or too long.
+pub(super) fn decode(group: &GroupId, bytes: &[u8]) -> Result<Message, &'static str> {
+    if bytes.len() < HEAD_BYTES || bytes[0] != FORMAT {
+        return Err("of an unknown format");
+    }
+    if bytes.len() > LONGEST_MESSAGE {
+        return Err("too long");
+    }
+    if bytes[1..GROUP_END] != group.0 {
+        return Err("of another group");
+    }
+    let payload = &bytes[HEAD_BYTES..];
+    if bytes[GROUP_END..HEAD_BYTES] != checksum(group, payload) {
+        return Err("spoilt");
+    }
+    Message::parse_from_bytes(payload).map_err(|_| "spoilt")
+}
+
+fn checksum(group: &GroupId, payload: &[u8]) -> [u8; 8] {
+    let mut hash = Sha256::new();
+    hash.update(group.0);
+    hash.update(payload);
+    let digest = hash.finalize();
+    let mut sum = [0; 8];
+    sum.copy_from_slice(&digest[..8]);
+    sum
+}
+
+/// Checks what a sound replica always keeps to.
+///
+/// # Errors
+///
+/// What it does not keep to.
+pub(super) fn check(message: &Message, expectation: &Expectation) -> Result<(), &'static str> {
+    check_ends(message, expectation)?;
+    check_bounds(message)?;
+    // A response of a follower speaks of the log of its leader, who is this replica where the terms are the same.
+    let of_our_log = expectation.leads && message.term == expectation.term;
+    match message.get_msg_type() {
+        MessageType::MsgPropose if !expectation.leads => Err("a proposal to a voter that does not lead"),
+        MessageType::MsgPropose => check_forwarded(message),
+        _ if message.term == 0 => Err("without a term"),
+        MessageType::MsgAppend => check_append(message),
+        MessageType::MsgSnapshot => check_snapshot(message, expectation),
+        MessageType::MsgHeartbeat if message.commit > expectation.last_index => {
+            Err("a commit beyond the log")
+        }
+        MessageType::MsgAppendResponse | MessageType::MsgHeartbeatResponse
+            if of_our_log && message.index.max(message.commit) > expectation.last_index =>
+        {
+            Err("a response beyond the log")
+        }
+        MessageType::MsgHeartbeat
+        | MessageType::MsgAppendResponse
+        | MessageType::MsgHeartbeatResponse
+        | MessageType::MsgRequestVote
+        | MessageType::MsgRequestVoteResponse
+        | MessageType::MsgRequestPreVote
+        | MessageType::MsgRequestPreVoteResponse => check_bare(message),
+        _ => Err("of a kind that is not sent"),
+    }
+}
+
+fn check_ends(message: &Message, expectation: &Expectation) -> Result<(), &'static str> {
+    let identity = expectation.identity;
+    if message.to != identity.voter.0 {
+        return Err("to somebody else");
+    }
+    let known = identity.voters.iter().any(|voter| voter.0 == message.from);
+    if !known || message.from == identity.voter.0 {
+        return Err("from an unknown voter");
+    }
+    Ok(())
+}
+
+fn check_bounds(message: &Message) -> Result<(), &'static str> {
+    let figures = [
+        message.term,
+        message.log_term,
+        message.index,
+        message.commit,
+        message.commit_term,
+        message.reject_hint,
+    ];
+    if figures.iter().any(|figure| *figure >= HIGHEST) {
+        return Err("with a figure out of range");
+    }
+    if message.request_snapshot != 0 || !message.context.is_empty() {
+        return Err("with a request that is not made");
+    }
+    Ok(())
+}
+
+fn check_bare(message: &Message) -> Result<(), &'static str> {
+    if message.entries.is_empty() && message.snapshot.is_none() {
+        Ok(())
+    } else {
+        Err("with entries out of place")
+    }
+}
+
+fn check_forwarded(message: &Message) -> Result<(), &'static str> {
+    let [entry] = message.get_entries() else { return Err("not with one proposal") };
+    check_entry(entry)?;
+    let proposal: Result<Proposal, _> = postcard::from_bytes(&entry.data);
+    proposal.map(|_| ()).map_err(|_| "with a proposal that can't be read")
+}
+
+fn check_entry(entry: &Entry) -> Result<(), &'static str> {
+    if entry.get_entry_type() != EntryType::EntryNormal || !entry.context.is_empty() {
+        return Err("with an entry of a kind that is not made");
+    }
+    if entry.data.len() > LONGEST_PROPOSAL {
+        return Err("with an entry that is too long");
+    }
+    Ok(())
+}
+
+fn check_append(message: &Message) -> Result<(), &'static str> {
+    if (message.index == 0) != (message.log_term == 0) || message.log_term > message.term {
+        return Err("with entries after an impossible one");
+    }
+    if message.snapshot.is_some() {
+        return Err("with a snapshot out of place");
+    }
+    let mut term = message.log_term.max(1);
+    for (position, entry) in message.get_entries().iter().enumerate() {
+        check_entry(entry)?;
+        let expected = message.index + 1 + position as u64;
+        if entry.index != expected || entry.term < term || entry.term > message.term {
+            return Err("with entries out of order");
+        }
+        term = entry.term;
+    }
+    Ok(())
+}
+
+fn check_snapshot(message: &Message, expectation: &Expectation) -> Result<(), &'static str> {
+    if !message.entries.is_empty() {
+        return Err("with entries out of place");
+    }
+    let snapshot = message.get_snapshot();
+    let metadata = snapshot.get_metadata();
+    if !(1..HIGHEST).contains(&metadata.index) || metadata.term == 0 || metadata.term > message.term {
+        return Err("with a snapshot of an impossible index");
+    }
+    let expected = ConfState { voters: expectation.identity.ids(), ..ConfState::default() };
+    if *metadata.get_conf_state() != expected {
+        return Err("with a snapshot of other voters");
+    }
+    match Machine::decode(&snapshot.data) {
+        Some(_) => Ok(()),
+        None => Err("with a snapshot that can't be read"),
+    }
+}
