--- a/src/revisions/agreement/tests/state.rs
+++ b/src/revisions/agreement/tests/state.rs
@@ -71,22 +71,30 @@
     assert_eq!(Machine::decode(&machine.encode()[..50]), None);
 }
 
+/// A document to which no further name can be added, other for each mark.
+fn longest_document(mark: u128) -> Document {
+    let mut document = document(1.0);
+    for position in 0..LONGEST_DOCUMENT {
+        let name = format!("{mark:0>100}-{position}");
+        document.nodes_out.insert(name.clone());
+        if document.check().is_err() {
+            document.nodes_out.remove(&name);
+            break;
+        }
+    }
+    document.check().unwrap();
+    document
+}
+
 #[test]
 fn a_snapshot_of_the_longest_revisions_fits_a_message() {
     let mut machine = Machine::new();
-    let mut room = LONGEST_DOCUMENT;
-    let long = |id: u128, room: usize, expected| {
-        let mut long = proposal(id, expected);
-        long.author = "a".repeat(LONGEST_AUTHOR);
-        long.document.nodes_out.insert("n".repeat(room));
-        long
-    };
-    while long(0, room, RevisionId::none()).document.check().is_err() {
-        room -= 1;
-    }
+    let mut documents = 0;
     for id in 0..KEPT_REVISIONS as u128 {
-        let expected = machine.newest().map_or_else(RevisionId::none, |newest| newest.id);
-        let longest = long(id, room - 8, expected);
+        let mut longest = proposal(id, machine.newest().map_or_else(RevisionId::none, |newest| newest.id));
+        longest.author = "a".repeat(LONGEST_AUTHOR);
+        longest.document = longest_document(id);
+        documents += longest.document.encode().len();
         assert!(postcard::to_allocvec(&longest).unwrap().len() <= LONGEST_PROPOSAL);
         assert!(machine.apply(longest).accepted.is_some());
     }
@@ -95,6 +103,7 @@
         refused.author = "a".repeat(LONGEST_AUTHOR + 1);
         assert!(machine.apply(refused).outcome.is_err());
     }
+    assert!(documents > KEPT_REVISIONS * LONGEST_DOCUMENT * 9 / 10, "{documents}");
     let size = machine.encode().len();
-    assert!(size > KEPT_REVISIONS * room - 1_000 && size + 1_000 < LONGEST_MESSAGE, "{size}");
+    assert!(size > documents && size + 1_000 < LONGEST_MESSAGE, "{size}");
 }
--- a/src/revisions/document/figures.rs
+++ b/src/revisions/document/figures.rs
@@ -84,7 +84,9 @@
         plans: named(&table, "plans", &PLAN_KEYS)?,
         costs: section(&table, "costs", &COST_KEYS)?,
         limits: section(&table, "limits", &LIMIT_KEYS)?,
-        nodes_out: table.get("nodes_out").map_or_else(|| Ok(Default::default()), |it| value("nodes_out", it))?,
+        nodes_out: table
+            .get("nodes_out")
+            .map_or_else(|| Ok(Default::default()), |it| value("nodes_out", it))?,
     })
 }
 
--- a/src/revisions/document/overlay.rs
+++ b/src/revisions/document/overlay.rs
@@ -49,7 +49,10 @@
             if class.aim > class.deadline {
                 let deadline = class.deadline.as_secs_f64() * 1000.0;
                 let why = format!("at most the class's deadline, {deadline} ms, is allowed");
-                return Err(DocumentError::new(format!("classes.{}.aim_ms is {aim_ms}: {why}", quoted(name))));
+                return Err(DocumentError::new(format!(
+                    "classes.{}.aim_ms is {aim_ms}: {why}",
+                    quoted(name)
+                )));
             }
         }
         replace(&mut class.worth, self.worth);
@@ -105,7 +108,9 @@
             let retry_after = millis(retry_after_ms).map_err(DocumentError::new)?;
             if limits.max_retry_after.is_zero() && !retry_after.is_zero() {
                 let why = "the settings let no client be asked to wait, so only 0 is allowed";
-                return Err(DocumentError::new(format!("limits.max_retry_after_ms is {retry_after_ms}: {why}")));
+                return Err(DocumentError::new(format!(
+                    "limits.max_retry_after_ms is {retry_after_ms}: {why}"
+                )));
             }
             limits.max_retry_after = retry_after;
         }
