--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -53,7 +53,7 @@
     pub known: Option<ListMessage>,
     /// For the decisions, as in force.
     pub settings: Settings,
-    /// For the decisions, as the files state them.
+    /// For the decisions, as the configuration itself states them.
     pub stated: Settings,
     /// For the wire.
     pub wire: Wire,
@@ -174,7 +174,6 @@
             let why = "enabled: not beside VRRP, whose machines have fixed parts of the limits";
             return Err(format!("{}: {why}", planners.display()));
         }
-        config.stated = config.settings.clone();
         Ok(config)
     }
 
--- a/src/nodes.rs
+++ b/src/nodes.rs
@@ -146,9 +146,8 @@
         // Guards against a day on which nodes are replaced over and over: who is gone is not remembered.
         self.known.retain(|_, known| known.line.state != NodeState::Gone);
         self.ids.retain(|_, node| self.known.contains_key(node));
-        let (ids, bans, configured) = (&self.ids, &self.bans, &self.configured_out);
-        let is_out = |name: &String| bans.contains_key(name) || configured.contains_key(name);
-        self.returned.retain(|name, _| ids.contains_key(name) || is_out(name));
+        let (ids, bans) = (&self.ids, &self.bans);
+        self.returned.retain(|name, _| ids.contains_key(name) || bans.contains_key(name));
         (Event::List { kind, entries }, gone)
     }
 
--- a/src/rules/reconfigure/tests.rs
+++ b/src/rules/reconfigure/tests.rs
@@ -407,3 +407,12 @@
     scheduler.reconfigure(start, changed).unwrap();
     assert!((demand(&scheduler) - before).abs() > 1e-3, "{before}");
 }
+
+#[test]
+fn a_lowered_burst_caps_at_once() {
+    let (mut scheduler, start) = waiting(with_limit(Some(limit(20.0, 32.0, 0.0))), 0);
+    scheduler.volumes.insert(VolumeId(7), Volume { terms: (0, 1.0), ..Volume::default() });
+    scheduler.volumes.get_mut(&VolumeId(7)).unwrap().limit = Store { level: 30.0, at: start };
+    scheduler.reconfigure(start, with_limit(Some(limit(20.0, 9.0, 0.0)))).unwrap();
+    assert_eq!(scheduler.volumes[&VolumeId(7)].limit.level, 9.0);
+}
