--- a/src/revisions/document/tests.rs
+++ b/src/revisions/document/tests.rs
@@ -359,3 +359,13 @@
     assert_eq!(Document::default().encode(), [0; 11]);
     assert_eq!(Document::default().hash().to_string(), empty);
 }
+
+/// A document that comes by another way than its text is checked as well.
+#[test]
+fn what_is_out_of_range_is_not_applied() {
+    for worth in [f64::NAN, 0.0, f64::INFINITY] {
+        let class = ClassFigures { worth: Some(worth), ..ClassFigures::default() };
+        let document = Document { classes: BTreeMap::from([("bulk".into(), class)]), ..Document::default() };
+        assert!(document.apply(&settings(), &names()).is_err(), "{worth}");
+    }
+}
