--- a/src/revisions/distribution.rs
+++ b/src/revisions/distribution.rs
@@ -86,10 +86,12 @@
 pub const MOST_IN_SPACING: usize = 16;
 /// See [`MOST_IN_SPACING`].
 pub const SPACING: Duration = Duration::from_millis(10);
-/// An update that is not acknowledged within this time is sent again, as a whole.
-pub const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(2);
+/// An update that is not acknowledged within this time is sent again, as a whole. Initiators that are gone without a word
+/// hold up to [`MOST_UNACKNOWLEDGED`] places for so long.
+pub const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often one revision is sent on one connection. An initiator that does not acknowledge any of them is left alone until
-/// the next revision, or until it subscribes again.
+/// the next revision, or until it subscribes again. All tries together take longer than a planner bears with a connection
+/// that is silent, so one that was stopped for a while comes back on another connection.
 pub const MOST_TRIES: u32 = 4;
 /// Revisions that changes can be made to; an initiator that holds an older one gets the whole.
 pub const KNOWN_REVISIONS: usize = 16;
