A test that an update on a new connection without a subscription is left

The test passed without the line that forgets a subscription with its connection; it looks at a planner that was subscribed to now.

--- a/src/planner/client/configuration/tests.rs
+++ b/src/planner/client/configuration/tests.rs
@@ -162,17 +162,18 @@
 fn updates_come_from_planners_that_it_has_subscribed_to() {
     let now = Instant::now();
     let mut it = connected(now);
-    let [first, second, third] = preference(&it);
+    let [first, second, _] = preference(&it);
     let was_subscribed: Vec<bool> = it.sources.iter().map(|source| source.was_subscribed).collect();
     let never = (0..3).find(|at| !was_subscribed[*at]);
     if let Some(never) = never {
         assert!(it.update(never, update(1, "base")).is_empty());
         assert_eq!(it.take_prepared(), None);
     }
-    it.disconnected(third);
-    it.connected(third);
-    assert!(it.update(third, update(1, "base")).is_empty());
+    it.disconnected(first);
+    it.connected(first);
+    assert!(it.update(first, update(1, "base")).is_empty());
     assert_eq!(it.take_prepared(), None, "another connection, without a subscription");
+    it.quorum(now, first, true);
     it.quorum(now, first, false);
     assert_eq!(it.subscribed, Some(second));
     it.update(first, update(1, "base"));
