--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod load;
 mod membership;
 mod planners;
+mod revisions;
 mod settings;
 mod stand_ins;
 mod sync;
@@ -42,6 +43,8 @@
     Planners(arguments::Common),
     /// Shares of forwarders and planners in virtual time: faults, skewed use, outages, scale.
     PlannersSim(arguments::Parts),
+    /// Agreement of planners on revisions in virtual time: fault schedules by the thousand, and planted faults.
+    RevisionsSim(arguments::Parts),
 }
 
 fn main() -> ExitCode {
@@ -55,6 +58,7 @@
         Command::Vrrp(arguments) => vrrp::experiments::run(&arguments),
         Command::Planners(arguments) => planners::processes::run(&arguments),
         Command::PlannersSim(arguments) => planners::simulation::run(&arguments),
+        Command::RevisionsSim(arguments) => revisions::simulation::run(&arguments),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/src/revisions/agreement.rs
+++ b/src/revisions/agreement.rs
@@ -56,7 +56,8 @@
 /// Why a proposal became no revision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ProposalError {
-    /// Another revision is in force than its author saw.
+    /// Another revision is in force than its author saw. One that is submitted again after [`KEPT_OUTCOMES`] others is
+    /// answered so also where it was accepted the first time.
     Conflict {
         /// The one in force.
         newest: RevisionId,
--- a/src/revisions/agreement/machine.rs
+++ b/src/revisions/agreement/machine.rs
@@ -6,8 +6,8 @@
 use std::collections::VecDeque;
 
 /// Proposals whose outcome is remembered, so that one that is submitted again is answered and not tried again. An older
-/// one that was accepted can't be accepted again either: what its author saw is no longer the newest.
-pub const KEPT_OUTCOMES: usize = 256;
+/// one that was accepted can't be accepted again either: what its author saw is no longer the newest, and it is answered so.
+pub const KEPT_OUTCOMES: usize = 1024;
 
 /// What became of a proposal.
 pub(super) type Outcome = Result<RevisionId, ProposalError>;
