--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -182,7 +182,7 @@
         changes.into_iter().filter(|(_, changed)| *changed).map(|(what, _)| what).collect()
     }
 
-    fn parse(text: &[u8]) -> Result<Config, String> {
+    pub(crate) fn parse(text: &[u8]) -> Result<Config, String> {
         let file: File = serde_json::from_slice(text).map_err(|error| error.to_string())?;
         let seed = u64::from_str_radix(&file.seed, 16)
             .map_err(|_| format!("seed {:?} is not a hexadecimal number", file.seed))?;
--- a/src/planner/frame.rs
+++ b/src/planner/frame.rs
@@ -144,10 +144,15 @@
 
 /// Takes a message off an input, once it is whole. An error means that the far side says something else.
 pub fn take<M: DeserializeOwned>(input: &mut Vec<u8>) -> Result<Option<M>, String> {
+    take_within(input, MOST)
+}
+
+/// The same, where no longer message than so many bytes is awaited.
+pub fn take_within<M: DeserializeOwned>(input: &mut Vec<u8>, most: usize) -> Result<Option<M>, String> {
     let Some(head) = input.first_chunk::<HEAD>() else { return Ok(None) };
     let length = u32::from_be_bytes(*head) as usize;
-    if length > MOST {
-        return Err(format!("a message of {length} bytes, at most {MOST} are allowed"));
+    if length > most {
+        return Err(format!("a message of {length} bytes, at most {most} are allowed"));
     }
     let Some(body) = input.get(HEAD..HEAD + length) else { return Ok(None) };
     let message = postcard::from_bytes(body).map_err(|error| error.to_string())?;
@@ -156,34 +161,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn messages_are_taken_whole_and_nothing_else_is() {
-        let hello = ToPlanner::Hello { schema: SCHEMA, forwarder: "n1".into() };
-        let mut bytes = Vec::new();
-        write(&hello, &mut bytes);
-        write(&hello, &mut bytes);
-        let mut came = Vec::new();
-        let mut taken = 0;
-        for byte in &bytes {
-            came.push(*byte);
-            if let Some(message) = take::<ToPlanner>(&mut came).unwrap() {
-                assert_eq!(message, hello);
-                taken += 1;
-            }
-        }
-        assert_eq!((taken, came.len()), (2, 0));
-        assert!(take::<ToPlanner>(&mut vec![0xc0, 0, 0, 0]).unwrap_err().contains("at most"));
-        assert!(take::<ToPlanner>(&mut vec![0, 0, 0, 1, 77]).is_err());
-    }
-
-    /// A planner of this schema reads the number in a greeting of any other.
-    #[test]
-    fn the_number_of_the_schema_is_where_it_always_is() {
-        let mut bytes = Vec::new();
-        write(&ToPlanner::Hello { schema: 300, forwarder: "x".into() }, &mut bytes);
-        assert_eq!(bytes, [0, 0, 0, 5, 0, 0xac, 0x02, 1, b'x']);
-    }
-}
+mod tests;
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -1,10 +1,17 @@
 //! Where decisions are made: each initiator owns its scheduler, and nothing else decides which node, whether to try
 //! again, and what is turned away. What it may use of what all initiators share it learns of a few remote planners,
-//! where there are any: `client` talks to them, `server` is one, `frame` is what they say.
+//! where there are any: `client` talks to them, `server` is one (`settings` its file, `connection` what others make to it,
+//! `configuration` and `peers` its part in live configuration), `operator` is the operators' side of that, `frame` is what
+//! all of them say.
 
 pub(crate) mod client;
+mod configuration;
+mod connection;
 mod frame;
+pub mod operator;
+mod peers;
 pub mod server;
+pub mod settings;
 
 use crate::clock::Clock;
 use crate::interface::{Action, Event, Settings};
--- /dev/null
+++ b/src/planner/operator/fleet.rs
@@ -0,0 +1,298 @@
+//! What all planners in reach know of the initiators, taken together.
+
+use super::{Failure, Planners};
+use crate::planner::frame::PlannerStatus;
+use crate::revisions::distribution::InitiatorStatus;
+use crate::revisions::{RevisionId, RevisionNumber};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// The pause between two looks.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Initiators that are named in one line; of more only the number is told.
+const MOST_NAMED: usize = 20;
+
+/// The live configuration over the whole fleet, as far as planners answer.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    /// What each planner says, or why it does not.
+    pub planners: Vec<(SocketAddr, Result<PlannerStatus, String>)>,
+    /// The newest accepted revision that any of them knows.
+    pub newest: RevisionId,
+    /// The initiators, sorted by name.
+    pub initiators: Vec<InitiatorStatus>,
+}
+
+/// How far a revision has come.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Connected initiators where it, or a later one, is in force.
+    pub in_force: usize,
+    /// Connected initiators where it is not, and may come to be.
+    pub missing: Vec<String>,
+    /// Connected initiators that refuse it, and why.
+    pub refused: Vec<(String, String)>,
+}
+
+impl Fleet {
+    /// Asks all planners.
+    ///
+    /// # Errors
+    ///
+    /// None answers.
+    pub fn look(planners: &Planners) -> Result<Fleet, Failure> {
+        let fleet = Fleet::of(planners.status());
+        if fleet.planners.iter().all(|(_, status)| status.is_err()) {
+            let why = |(address, status): &(SocketAddr, Result<PlannerStatus, String>)| {
+                format!("{address}: {}", status.as_ref().err().map_or("", String::as_str))
+            };
+            let why: Vec<String> = fleet.planners.iter().map(why).collect();
+            return Err(Failure::Undecided(format!("no planner answers: {}", why.join("; "))));
+        }
+        Ok(fleet)
+    }
+
+    /// Takes together what planners say.
+    pub fn of(planners: Vec<(SocketAddr, Result<PlannerStatus, String>)>) -> Fleet {
+        let mut newest = RevisionId::none();
+        let mut initiators: BTreeMap<String, InitiatorStatus> = BTreeMap::new();
+        for status in planners.iter().filter_map(|(_, status)| status.as_ref().ok()) {
+            if status.newest.number > newest.number {
+                newest = status.newest;
+            }
+            for initiator in &status.initiators {
+                initiators
+                    .entry(initiator.initiator.clone())
+                    .and_modify(|known| merge(known, initiator))
+                    .or_insert_with(|| initiator.clone());
+            }
+        }
+        Fleet { planners, newest, initiators: initiators.into_values().collect() }
+    }
+
+    /// How far a revision has come.
+    pub fn progress(&self, number: RevisionNumber) -> Progress {
+        let mut progress = Progress::default();
+        for initiator in self.initiators.iter().filter(|initiator| initiator.connected) {
+            let name = initiator.initiator.clone();
+            match &initiator.refused {
+                _ if initiator.in_force.number >= number => progress.in_force += 1,
+                Some((refused, why)) if refused.number >= number => {
+                    progress.refused.push((name, why.clone()))
+                }
+                _ => progress.missing.push(name),
+            }
+        }
+        progress
+    }
+
+    /// Lines for people.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = writeln!(text, "newest revision: {}", self.newest);
+        for (address, status) in &self.planners {
+            let _ = match status {
+                Ok(status) => writeln!(text, "planner {}: {}", status.planner, planner_text(status)),
+                Err(why) => writeln!(text, "planner at {address}: no answer, {why}"),
+            };
+        }
+        for initiator in &self.initiators {
+            let _ = writeln!(text, "initiator {}: {}", initiator.initiator, initiator_text(initiator));
+        }
+        text
+    }
+
+    /// The same as one JSON object.
+    pub fn json(&self) -> String {
+        let planner = |(address, status): &(SocketAddr, Result<PlannerStatus, String>)| PlannerJson {
+            address: *address,
+            error: status.as_ref().err().cloned(),
+            status: status.as_ref().ok().map(|status| PlannerStatusJson {
+                name: status.planner.clone(),
+                quorum: status.quorum,
+                leader: status.leader.clone(),
+                newest: status.newest.into(),
+            }),
+        };
+        let initiator = |initiator: &InitiatorStatus| InitiatorJson {
+            name: initiator.initiator.clone(),
+            connected: initiator.connected,
+            silent_ms: initiator.silent_ms,
+            in_force: initiator.in_force.into(),
+            refused: initiator
+                .refused
+                .as_ref()
+                .map(|(revision, why)| RefusalJson { revision: (*revision).into(), why: why.clone() }),
+        };
+        let fleet = FleetJson {
+            newest: self.newest.into(),
+            planners: self.planners.iter().map(planner).collect(),
+            initiators: self.initiators.iter().map(initiator).collect(),
+        };
+        // Nothing in it can fail to be written.
+        serde_json::to_string(&fleet).unwrap_or_default()
+    }
+}
+
+/// Waits until a revision, or the newest, is in force at every connected initiator. Returns its id, and at how many.
+///
+/// # Errors
+///
+/// [`Failure::NotInForce`] when time is up, or nobody is left but those that refuse it; [`Failure::Undecided`] where no
+/// planner answers then.
+pub fn wait(
+    planners: &Planners,
+    number: Option<RevisionNumber>,
+    patience: Duration,
+) -> Result<(RevisionNumber, usize), Failure> {
+    let until = Instant::now() + patience;
+    let mut wanted = number;
+    loop {
+        let failure = match Fleet::look(planners) {
+            Err(failure) => failure,
+            Ok(fleet) => {
+                // What is the newest at the beginning is waited for, not what comes later.
+                let number = *wanted.get_or_insert(fleet.newest.number);
+                let progress = fleet.progress(number);
+                let accepted = fleet.newest.number >= number;
+                if accepted && progress.missing.is_empty() && progress.refused.is_empty() {
+                    return Ok((number, progress.in_force));
+                }
+                let failure = Failure::NotInForce(progress.text(number, accepted));
+                if accepted && progress.missing.is_empty() {
+                    return Err(failure);
+                }
+                failure
+            }
+        };
+        if Instant::now() >= until {
+            return Err(failure);
+        }
+        std::thread::sleep(PAUSE.min(until.saturating_duration_since(Instant::now())));
+    }
+}
+
+impl Progress {
+    fn text(&self, number: RevisionNumber, accepted: bool) -> String {
+        if !accepted {
+            return format!("revision {number} is not accepted");
+        }
+        let mut parts = vec![format!("revision {number} is in force at {}", self.in_force)];
+        if !self.missing.is_empty() {
+            parts.push(format!("missing at {}: {}", self.missing.len(), named(&self.missing)));
+        }
+        if !self.refused.is_empty() {
+            let refused: Vec<String> =
+                self.refused.iter().map(|(name, why)| format!("{name} ({why})")).collect();
+            parts.push(format!("refused by {}: {}", refused.len(), named(&refused)));
+        }
+        parts.join("; ")
+    }
+}
+
+fn named(names: &[String]) -> String {
+    let beyond = names.len().saturating_sub(MOST_NAMED);
+    let named = names[..names.len() - beyond].join(", ");
+    if beyond == 0 {
+        return named;
+    }
+    format!("{named} and {beyond} more")
+}
+
+/// Takes what another planner says of an initiator. One that is connected knows better than one that is not; of two that are,
+/// the one with less in force is believed, so that nothing is said to be in force too early.
+fn merge(known: &mut InitiatorStatus, other: &InitiatorStatus) {
+    let is_behind = other.in_force.number < known.in_force.number;
+    let is_better = match (known.connected, other.connected) {
+        (true, true) => is_behind,
+        (false, false) => other.silent_ms < known.silent_ms,
+        (known, _) => !known,
+    };
+    let refused = later(known.refused.take(), other.refused.clone());
+    if is_better {
+        *known = other.clone();
+    }
+    known.refused = refused;
+}
+
+/// The refusal of the later revision.
+fn later(
+    one: Option<(RevisionId, String)>,
+    other: Option<(RevisionId, String)>,
+) -> Option<(RevisionId, String)> {
+    [one, other].into_iter().flatten().max_by_key(|(revision, _)| revision.number)
+}
+
+fn planner_text(status: &PlannerStatus) -> String {
+    let quorum = if status.quorum { "quorum" } else { "no quorum" };
+    let leader = status.leader.as_ref().map_or("no leader known".into(), |leader| format!("led by {leader}"));
+    format!("{quorum}, {leader}, newest revision {}", status.newest)
+}
+
+fn initiator_text(initiator: &InitiatorStatus) -> String {
+    let mut text = format!("{} in force", initiator.in_force);
+    if let Some((revision, why)) = &initiator.refused {
+        let _ = write!(text, "; refuses {revision}: {why}");
+    }
+    if !initiator.connected {
+        let _ = write!(text, "; not connected for {} s", initiator.silent_ms / 1000);
+    }
+    text
+}
+
+#[derive(Serialize)]
+struct FleetJson {
+    newest: RevisionJson,
+    planners: Vec<PlannerJson>,
+    initiators: Vec<InitiatorJson>,
+}
+
+#[derive(Serialize)]
+struct PlannerJson {
+    address: SocketAddr,
+    error: Option<String>,
+    status: Option<PlannerStatusJson>,
+}
+
+#[derive(Serialize)]
+struct PlannerStatusJson {
+    name: String,
+    quorum: bool,
+    leader: Option<String>,
+    newest: RevisionJson,
+}
+
+#[derive(Serialize)]
+struct InitiatorJson {
+    name: String,
+    connected: bool,
+    silent_ms: u64,
+    in_force: RevisionJson,
+    refused: Option<RefusalJson>,
+}
+
+#[derive(Serialize)]
+struct RefusalJson {
+    revision: RevisionJson,
+    why: String,
+}
+
+/// A revision's id, with its hash in hexadecimal digits.
+#[derive(Serialize)]
+struct RevisionJson {
+    number: u64,
+    hash: String,
+}
+
+impl From<RevisionId> for RevisionJson {
+    fn from(id: RevisionId) -> Self {
+        RevisionJson { number: id.number.0, hash: id.hash.to_string() }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/planner/server.rs
+++ b/src/planner/server.rs
@@ -1,101 +1,43 @@
-//! A planner as a process of its own: it leads some partitions, as the elections go, and answers forwarders' reports of
-//! these with plans.
+//! A planner as a process of its own: it leads some partitions, as the elections go, and answers initiators' reports of
+//! these with plans. Where live configuration is on, other planners and operators' commands come in at the same address.
 
-use super::frame::{self, FromPlanner, ToPlanner, HEAD, MOST, SCHEMA};
-use crate::conn::Conn;
+use super::configuration::{Configuration, Said};
+use super::connection::{Connection, Role};
+use super::frame::{FromPlanner, OperatorReply, ToPlanner, SCHEMA};
+use crate::conn::{Conn, ReadEnd};
+use crate::revisions::distribution::ConnectionId;
 use crate::shares::deal;
 use crate::shares::planner::{Planner, Settings};
 use crate::shares::PlannerId;
-use crate::vrrp::machine::Role;
-use crate::vrrp::routers::Router;
-use crate::vrrp::settings::{Election, Interface};
+use crate::vrrp::machine::Role as ElectionRole;
 use crate::vrrp::speaker::Speaker;
 use mio::net::{TcpListener, UnixStream};
 use mio::{Events, Interest, Poll, Token};
-use serde::Deserialize;
-use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+pub use super::settings::Config;
+
 const LISTENER: Token = Token(0);
 const ELECTION: Token = Token(1);
 const SIGNAL: Token = Token(2);
+/// The first of the connections to other planners.
+const PEERS: Token = Token(8);
 const FIRST_FREE: usize = 16;
-/// Forwarders that one planner serves; each takes a descriptor.
-const MOST_FORWARDERS: usize = 4096;
-/// Forwarders let in, in one turn of the loop: the others wait in the kernel.
+/// Connections that one planner serves; each takes a descriptor.
+const MOST_CONNECTIONS: usize = 4096;
+/// Connections let in, in one turn of the loop: the others wait in the kernel.
 const MOST_ACCEPTED: usize = 64;
-/// Planners and partitions of one fleet.
-const MOST_PLANNERS: usize = 16;
-const MOST_PARTITIONS: u16 = 64;
+/// Operators' commands that are served at a time; others are told to come again.
+const MOST_OPERATORS: usize = 64;
+/// Reads of one connection in one turn of the loop, where it has more than fits.
+const MOST_READS: usize = 4;
 /// How often everybody is told what this planner leads. The heartbeat as well.
 const HEARTBEAT: Duration = Duration::from_millis(300);
-/// A forwarder that says nothing for so long, or does not go on with a message, is closed.
-const SILENCE: Duration = Duration::from_secs(3);
-/// Bytes that wait for a forwarder that does not read: it gets no plan until it has, and then the newest.
-const MOST_UNREAD: usize = 256 * 1024;
 /// How long a planner may be deaf to its timers.
 const LONGEST_WAIT: Duration = Duration::from_millis(100);
-/// Priority of the planner that is first in a partition, and how much less each next one has.
-const FIRST: u8 = 250;
-const STEP: u8 = 10;
-
-/// How a planner is set up.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct File {
-    listen: SocketAddr,
-    name: String,
-    planners: Vec<String>,
-    partitions: Option<u16>,
-    vrrp: Election,
-}
-
-/// How a planner is set up.
-#[derive(Clone, Debug)]
-pub struct Config {
-    /// Where forwarders connect.
-    pub listen: SocketAddr,
-    /// Its name among the planners.
-    pub name: String,
-    /// Where it hears the other planners.
-    pub interface: Interface,
-    /// Its part in the election of each partition's leader.
-    pub routers: Vec<Router>,
-}
-
-impl Config {
-    /// Reads a file; the error is one plain line.
-    pub fn parse(text: &str) -> Result<Config, String> {
-        let file: File = toml::from_str(text).map_err(|error| error.message().to_string())?;
-        let names: HashSet<&String> = file.planners.iter().collect();
-        if file.planners.len() > MOST_PLANNERS || names.len() != file.planners.len() {
-            return Err(format!("planners: the names of all, at most {MOST_PLANNERS}, each once"));
-        }
-        let Some(own) = file.planners.iter().position(|name| *name == file.name) else {
-            return Err(format!("name: {:?} is not among planners", file.name));
-        };
-        let partitions = file.partitions.unwrap_or(file.planners.len() as u16);
-        if !(1..=MOST_PARTITIONS).contains(&partitions) {
-            return Err(format!("partitions: {partitions} is not allowed, 1 to {MOST_PARTITIONS} are"));
-        }
-        let candidates: Vec<u64> = file.planners.iter().map(|name| deal::hash(name)).collect();
-        let rank = |partition: u16| {
-            let order = deal::order(deal::hash(&format!("partition {partition}")), &candidates);
-            order.iter().position(|at| *at == own).unwrap_or(0) as u8
-        };
-        let priorities: Vec<u8> = (0..partitions).map(|partition| FIRST - STEP * rank(partition)).collect();
-        let (interface, routers) = file.vrrp.check(&priorities).map_err(|why| format!("vrrp: {why}"))?;
-        Ok(Config { listen: file.listen, name: file.name, interface, routers })
-    }
-}
-
-struct Forwarder {
-    conn: Conn,
-    /// Once it has said who it is.
-    name: Option<String>,
-    heard: Instant,
-}
+/// Bytes of an initiator's name.
+const LONGEST_NAME: usize = 256;
 
 /// A planner process.
 pub struct Server {
@@ -103,18 +45,26 @@
     config: Config,
     election: Speaker,
     listener: TcpListener,
-    forwarders: HashMap<usize, Forwarder>,
+    connections: HashMap<usize, Connection>,
     /// By partition, where it leads.
     leads: Vec<Option<Planner>>,
+    /// Live configuration, where it is on.
+    configuration: Option<Configuration>,
     started: Instant,
     next_token: usize,
     next_heartbeat: Instant,
     /// Newcomers wait.
     knocked: bool,
+    /// Connections of which not all was read.
+    unfinished: BTreeSet<usize>,
 }
 
 impl Server {
     /// Takes part in the elections from now on; `signal` becomes readable when it is to end.
+    ///
+    /// # Errors
+    ///
+    /// An address is taken, or live configuration is on and can't go on from its store: one line.
     pub fn new(config: Config, signal: std::os::unix::net::UnixStream) -> Result<Self, String> {
         let poll = Poll::new().map_err(|error| format!("poll: {error}"))?;
         let mut signal = UnixStream::from_std(signal);
@@ -122,12 +72,18 @@
         registered.map_err(|error| format!("signal pipe: {error}"))?;
         // Kept for the life of the process: closing it would look like a signal.
         std::mem::forget(signal);
+        let started = Instant::now();
+        let configuration = config
+            .configuration
+            .as_ref()
+            .map(|section| Configuration::start(&config.name, section, PEERS, started))
+            .transpose()
+            .map_err(|why| format!("configuration: {why}"))?;
         let listener = TcpListener::bind(config.listen).and_then(|mut listener| {
             poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
             Ok(listener)
         });
         let listener = listener.map_err(|error| format!("{}: {error}", config.listen))?;
-        let started = Instant::now();
         let interfaces = std::slice::from_ref(&config.interface);
         let routers = config.routers.clone();
         let leads = routers.iter().map(|_| None).collect();
@@ -137,26 +93,29 @@
             config,
             election,
             listener,
-            forwarders: HashMap::new(),
+            connections: HashMap::new(),
             leads,
+            configuration,
             started,
             next_token: FIRST_FREE,
             next_heartbeat: started,
             knocked: true,
+            unfinished: BTreeSet::new(),
         })
     }
 
     /// Runs until it is told to end; then other planners take over soon.
-    pub fn run(&mut self) -> std::io::Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// The system does not let it wait, or the store of the live configuration failed: one line.
+    pub fn run(&mut self) -> Result<(), String> {
         tracing::info!(name = self.config.name, listen = %self.config.listen, "started");
         let mut events = Events::with_capacity(1024);
         loop {
-            let now = Instant::now();
-            let next = self.election.next_timer(now).unwrap_or(now + LONGEST_WAIT).min(self.next_heartbeat);
-            let wait = if self.knocked { Duration::ZERO } else { next.saturating_duration_since(now) };
-            match self.poll.poll(&mut events, Some(wait.min(LONGEST_WAIT))) {
+            match self.poll.poll(&mut events, Some(self.wait(Instant::now()))) {
                 Err(error) if error.kind() == std::io::ErrorKind::Interrupted => continue,
-                other => other?,
+                other => other.map_err(|error| format!("poll: {error}"))?,
             }
             let now = Instant::now();
             // First of all: a planner that was stopped may have been replaced, and plans nothing more then.
@@ -165,6 +124,7 @@
             }
             self.election.turn(now);
             self.follow_election(now);
+            let mut ready = std::mem::take(&mut self.unfinished);
             for event in &events {
                 match event.token() {
                     ELECTION => {}
@@ -173,25 +133,41 @@
                         self.election.shut_down(now);
                         return Ok(());
                     }
-                    Token(id) => self.serve(now, id),
+                    token if self.configuration.as_mut().is_some_and(|it| it.ready(now, token)) => {}
+                    Token(id) => drop(ready.insert(id)),
                 }
             }
+            for id in ready {
+                self.serve(now, id)?;
+            }
             if self.knocked {
                 self.accept(now);
             }
             if self.next_heartbeat <= now {
                 self.next_heartbeat = now + HEARTBEAT;
-                self.forwarders.retain(|_, forwarder| now - forwarder.heard <= SILENCE);
-                self.tell_leads();
+                self.tell_leads(now);
             }
+            self.turn_configuration(now)?;
+        }
+    }
+
+    /// How long nothing is due.
+    fn wait(&self, now: Instant) -> Duration {
+        if self.knocked || !self.unfinished.is_empty() {
+            return Duration::ZERO;
         }
+        let election = self.election.next_timer(now);
+        let configuration = self.configuration.as_ref().map(Configuration::next_timer);
+        let timers = [election, configuration].into_iter().flatten().chain([self.next_heartbeat]);
+        let next = timers.min().unwrap_or(now);
+        next.saturating_duration_since(now).min(LONGEST_WAIT)
     }
 
     /// One that leads a partition from now on knows nothing of what was moved before, and needs not: that runs out.
     fn follow_election(&mut self, now: Instant) {
         let mut changed = false;
         for partition in 0..self.leads.len() {
-            let active = self.election.routers().machine(partition).role() == Role::Active;
+            let active = self.election.routers().machine(partition).role() == ElectionRole::Active;
             if active == self.leads[partition].is_some() {
                 continue;
             }
@@ -204,28 +180,36 @@
             tracing::info!(partition, leads = active, after = ?(now - self.started), "partition");
         }
         if changed {
-            self.tell_leads();
+            self.tell_leads(now);
         }
     }
 
-    fn tell_leads(&mut self) {
+    fn led(&self) -> FromPlanner {
         let leads = self.leads.iter().enumerate().filter(|(_, planner)| planner.is_some());
-        let mut output = Vec::new();
-        frame::write(&FromPlanner::Leads(leads.map(|(at, _)| at as u16).collect()), &mut output);
-        self.forwarders.retain(|_, forwarder| {
-            if forwarder.name.is_some() && forwarder.conn.unwritten() < MOST_UNREAD {
-                forwarder.conn.push(&output);
+        FromPlanner::Leads(leads.map(|(at, _)| at as u16).collect())
+    }
+
+    /// Tells all initiators what is led here, and closes who is silent.
+    fn tell_leads(&mut self, now: Instant) {
+        let led = self.led();
+        let mut gone = Vec::new();
+        for (id, connection) in &mut self.connections {
+            if matches!(connection.role, Role::Initiator(_)) && connection.reads() {
+                connection.say(&led);
             }
-            forwarder.conn.flush().is_ok()
-        });
+            if connection.is_silent(now) || connection.flush().is_err() {
+                gone.push(*id);
+            }
+        }
+        gone.into_iter().for_each(|id| self.close(now, id));
     }
 
-    /// Lets forwarders in, some in each turn: a thousand that come at once do not keep the others waiting.
+    /// Lets newcomers in, some in each turn: a thousand that come at once do not keep the others waiting.
     fn accept(&mut self, now: Instant) {
         self.knocked = false;
         for _ in 0..MOST_ACCEPTED {
             let Ok((stream, _)) = self.listener.accept() else { return };
-            if self.forwarders.len() >= MOST_FORWARDERS {
+            if self.connections.len() >= MOST_CONNECTIONS {
                 // Closed at once: it comes again after a pause of its own.
                 continue;
             }
@@ -233,92 +217,257 @@
             let _ = stream.set_nodelay(true);
             self.next_token += 1;
             if let Ok(conn) = Conn::new(stream, Token(self.next_token), self.poll.registry()) {
-                self.forwarders.insert(self.next_token, Forwarder { conn, name: None, heard: now });
+                self.connections.insert(self.next_token, Connection::new(conn, now));
             }
         }
         self.knocked = true;
     }
 
-    fn serve(&mut self, now: Instant, id: usize) {
-        let Some(forwarder) = self.forwarders.get_mut(&id) else { return };
-        let end = forwarder.conn.read(MOST + HEAD);
-        let taken = forwarder.take(now, now - self.started, &mut self.leads);
-        let refused = taken.is_err();
-        if let Err(why) = taken {
-            tracing::warn!(forwarder = forwarder.name, "a forwarder's message is unusable: {why}");
-            let mut output = Vec::new();
-            frame::write(&FromPlanner::Refused(why), &mut output);
-            forwarder.conn.push(&output);
+    /// Something happened on a connection. Whoever says what can't be used is told so and closed, and costs no other one
+    /// anything.
+    fn serve(&mut self, now: Instant, id: usize) -> Result<(), String> {
+        let mut end = ReadEnd::Paused;
+        for _ in 0..MOST_READS {
+            let Some(connection) = self.connections.get_mut(&id) else { return Ok(()) };
+            end = connection.read();
+            if let Err(why) = self.take(now, id)? {
+                self.refuse(now, id, why);
+            }
+            if end != ReadEnd::Paused {
+                break;
+            }
         }
-        if forwarder.conn.flush().is_err() || refused || end.is_over() {
-            self.forwarders.remove(&id);
+        if end == ReadEnd::Paused {
+            self.unfinished.insert(id);
         }
+        let Some(connection) = self.connections.get_mut(&id) else { return Ok(()) };
+        if connection.flush().is_err() || end.is_over() {
+            self.close(now, id);
+        }
+        Ok(())
     }
-}
 
-impl Forwarder {
-    /// Takes what it has said. Guards all others: one that says something else is told so and closed.
-    fn take(&mut self, now: Instant, at: Duration, leads: &mut [Option<Planner>]) -> Result<(), String> {
-        while let Some(message) = frame::take::<ToPlanner>(&mut self.conn.input)? {
-            self.heard = now;
-            let mut output = Vec::new();
-            match message {
-                ToPlanner::Hello { schema, .. } if schema != SCHEMA => {
-                    return Err(format!("schema {schema} is not known, {SCHEMA} is"));
+    /// Takes what was said whole. The outer error ends the process, the inner one the connection.
+    fn take(&mut self, now: Instant, id: usize) -> Result<Result<(), String>, String> {
+        loop {
+            let Some(connection) = self.connections.get_mut(&id) else { return Ok(Ok(())) };
+            let message = match connection.next() {
+                Ok(Some(message)) => message,
+                Ok(None) => return Ok(Ok(())),
+                Err(why) => return Ok(Err(why)),
+            };
+            connection.heard = now;
+            match connection.role.clone() {
+                Role::Newcomer => {
+                    if let Err(why) = self.greeted(now, id, message)? {
+                        return Ok(Err(why));
+                    }
                 }
-                ToPlanner::Hello { forwarder, .. } if self.name.is_none() => {
-                    self.name = Some(forwarder);
-                    frame::write(&FromPlanner::Welcome { partitions: leads.len() as u16 }, &mut output);
-                    let led = leads.iter().enumerate().filter(|(_, planner)| planner.is_some());
-                    frame::write(&FromPlanner::Leads(led.map(|(at, _)| at as u16).collect()), &mut output);
+                Role::Initiator(_) => {
+                    if let Err(why) = self.initiator_said(now, id, message) {
+                        return Ok(Err(why));
+                    }
                 }
-                ToPlanner::Report { partition, report } if self.name.is_some() => {
-                    let planner = leads.get_mut(usize::from(partition)).and_then(Option::as_mut);
-                    // One that does not read gets no plan: the next one tells all that it has not held.
-                    let reads = self.conn.unwritten() < MOST_UNREAD;
-                    if let Some(plan) =
-                        planner.filter(|_| reads).and_then(|planner| planner.take(at, &report))
-                    {
-                        frame::write(&FromPlanner::Plan { partition, plan }, &mut output);
+                Role::Peer(_) => match message {
+                    ToPlanner::Agreement(message) => {
+                        self.configure(now, |it, said| it.message(now, message, said))?;
                     }
+                    ToPlanner::Alive => {}
+                    _ => return Ok(Err("only the agreement's messages are for a planner".into())),
+                },
+                // Nothing of theirs is taken.
+                Role::Operator | Role::Answered => {}
+            }
+        }
+    }
+
+    /// The first message of a newcomer.
+    fn greeted(&mut self, now: Instant, id: usize, message: ToPlanner) -> Result<Result<(), String>, String> {
+        match message {
+            ToPlanner::Hello { schema, .. }
+            | ToPlanner::PeerHello { schema, .. }
+            | ToPlanner::Operator { schema, .. }
+                if schema != SCHEMA =>
+            {
+                Ok(Err(format!("schema {schema} is not known, {SCHEMA} is")))
+            }
+            ToPlanner::Hello { forwarder, .. } => Ok(self.welcome(now, id, forwarder)),
+            ToPlanner::PeerHello { planner, .. } => Ok(self.meet(now, id, &planner)),
+            ToPlanner::Operator { request, .. } => {
+                let operators = self.connections.values().filter(|it| it.role == Role::Operator).count();
+                if operators >= MOST_OPERATORS {
+                    return Ok(Err(format!("{operators} operators' commands wait here: come again")));
+                }
+                let Some(connection) = self.connections.get_mut(&id) else { return Ok(Ok(())) };
+                connection.role = Role::Operator;
+                if self.configuration.is_none() {
+                    connection.say_last(now, &FromPlanner::OperatorReply(OperatorReply::Off));
                 }
-                ToPlanner::Alive if self.name.is_some() => {}
-                _ => return Err("a greeting comes first, and once".into()),
+                let connection = ConnectionId(id);
+                self.configure(now, |it, said| it.operator(now, connection, request, said))?;
+                Ok(Ok(()))
             }
-            self.conn.push(&output);
+            _ => Ok(Err("a greeting comes first, and once".into())),
         }
+    }
+
+    fn welcome(&mut self, now: Instant, id: usize, name: String) -> Result<(), String> {
+        if name.len() > LONGEST_NAME {
+            return Err(format!("a name of {} bytes, at most {LONGEST_NAME} are allowed", name.len()));
+        }
+        let led = self.led();
+        let Some(connection) = self.connections.get_mut(&id) else { return Ok(()) };
+        connection.role = Role::Initiator(name.clone());
+        connection.say(&FromPlanner::Welcome { partitions: self.leads.len() as u16 });
+        connection.say(&led);
+        self.configure_surely(now, |it, said| it.connected(now, ConnectionId(id), name, said));
         Ok(())
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
+    /// Another planner has come. Its connection before, if it has one, is replaced: that may be one of which the end was
+    /// never heard.
+    fn meet(&mut self, now: Instant, id: usize, name: &str) -> Result<(), String> {
+        let configuration =
+            self.configuration.as_ref().ok_or("live configuration is not switched on here")?;
+        let Some(voter) = configuration.peer(name) else {
+            return Err(format!("{name:?} is not among the other planners"));
+        };
+        let is_older = |connection: &Connection| connection.role == Role::Peer(voter);
+        let older: Vec<usize> =
+            self.connections.iter().filter(|(_, it)| is_older(it)).map(|(id, _)| *id).collect();
+        older.into_iter().for_each(|id| self.close(now, id));
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.role = Role::Peer(voter);
+        }
+        Ok(())
+    }
 
-    fn text(name: &str) -> String {
-        format!(
-            "listen = \"127.0.0.1:1\"\nname = \"{name}\"\nplanners = [\"a\", \"b\", \"c\"]\n[vrrp]\nvrid = 7\n\
-             interval_ms = 50\naddress = \"127.0.0.1:1\"\npeers = [\"127.0.0.1:2\"]\n"
-        )
+    fn initiator_said(&mut self, now: Instant, id: usize, message: ToPlanner) -> Result<(), String> {
+        let connection = ConnectionId(id);
+        match message {
+            ToPlanner::Report { partition, report } => {
+                let planner = self.leads.get_mut(usize::from(partition)).and_then(Option::as_mut);
+                let at = now - self.started;
+                let Some(connection) = self.connections.get_mut(&id) else { return Ok(()) };
+                // One that does not read gets no plan: the next one tells all that it has not held.
+                let planner = planner.filter(|_| connection.reads());
+                if let Some(plan) = planner.and_then(|planner| planner.take(at, &report)) {
+                    connection.say(&FromPlanner::Plan { partition, plan });
+                }
+            }
+            ToPlanner::Alive => {}
+            ToPlanner::Subscribe { holds } => {
+                self.configure_surely(now, |it, said| it.subscribe(now, connection, holds, said));
+            }
+            ToPlanner::Unsubscribe => {
+                self.configure_surely(now, |it, said| it.unsubscribe(now, connection, said));
+            }
+            ToPlanner::Acknowledge(acknowledgement) => {
+                self.configure_surely(now, |it, said| it.acknowledge(now, connection, acknowledgement, said));
+            }
+            _ => return Err("a greeting comes first, and once".into()),
+        }
+        Ok(())
     }
 
-    #[test]
-    fn each_partition_has_an_order_of_its_own_that_all_planners_agree_on() {
-        let configs = ["a", "b", "c"].map(|name| Config::parse(&text(name)).unwrap());
-        for partition in 0..3 {
-            let mut priorities = configs.each_ref().map(|config| config.routers[partition].priority);
-            priorities.sort_unstable();
-            assert_eq!(priorities, [230, 240, 250], "partition {partition}");
-            assert!(configs.iter().all(|config| config.routers[partition].vrid == 7 + partition as u8));
+    /// Does what is due of the live configuration.
+    fn turn_configuration(&mut self, now: Instant) -> Result<(), String> {
+        let mut said = Vec::new();
+        if let Some(configuration) = &mut self.configuration {
+            let turned = configuration.turn(now, self.poll.registry(), &mut said);
+            turned.map_err(|error| format!("configuration: {error}"))?;
         }
+        said.into_iter().for_each(|said| self.say(now, said));
+        Ok(())
+    }
+
+    /// Has the live configuration take something, where it is on, and says what comes of it.
+    fn configure<E: std::fmt::Display>(
+        &mut self,
+        now: Instant,
+        take: impl FnOnce(&mut Configuration, &mut Vec<Said>) -> Result<(), E>,
+    ) -> Result<(), String> {
+        let Some(configuration) = &mut self.configuration else { return Ok(()) };
+        let mut said = Vec::new();
+        let taken = take(configuration, &mut said);
+        said.into_iter().for_each(|said| self.say(now, said));
+        taken.map_err(|error| format!("configuration: {error}"))
     }
 
-    #[test]
-    fn an_unusable_file_is_one_line() {
-        let error = |from: &str, to: &str| Config::parse(&text("a").replace(from, to)).unwrap_err();
-        assert_eq!(error("name = \"a\"", "name = \"x\""), "name: \"x\" is not among planners");
-        assert!(error("\"b\", \"c\"", "\"b\", \"b\"").starts_with("planners: the names of all"));
-        assert!(error("[vrrp]", "partitions = 65\n[vrrp]").starts_with("partitions: 65 is not allowed"));
-        assert!(error("vrid = 7", "vrid = 0").starts_with("vrrp: "));
+    /// The same for what touches no store.
+    fn configure_surely(&mut self, now: Instant, take: impl FnOnce(&mut Configuration, &mut Vec<Said>)) {
+        let Some(configuration) = &mut self.configuration else { return };
+        let mut said = Vec::new();
+        take(configuration, &mut said);
+        said.into_iter().for_each(|said| self.say(now, said));
     }
+
+    /// Says something of the live configuration.
+    fn say(&mut self, now: Instant, said: Said) {
+        match said {
+            Said::Initiator(ConnectionId(id), message) => self.say_surely(now, id, &message),
+            Said::Everybody(message) => {
+                let is_initiator = |connection: &Connection| matches!(connection.role, Role::Initiator(_));
+                let initiators: Vec<usize> =
+                    self.connections.iter().filter(|(_, it)| is_initiator(it)).map(|(id, _)| *id).collect();
+                initiators.into_iter().for_each(|id| self.say_surely(now, id, &message));
+            }
+            Said::Operator(ConnectionId(id), reply) => {
+                let Some(connection) = self.connections.get_mut(&id) else { return };
+                connection.say_last(now, &FromPlanner::OperatorReply(reply));
+                if connection.flush().is_err() {
+                    self.close(now, id);
+                }
+            }
+        }
+    }
+
+    /// Says what may not be left out: a far side that does not read is closed, and is told all when it comes again.
+    fn say_surely(&mut self, now: Instant, id: usize, message: &FromPlanner) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if !connection.reads() {
+            return self.close(now, id);
+        }
+        connection.say(message);
+        if connection.flush().is_err() {
+            self.close(now, id);
+        }
+    }
+
+    /// Tells a far side why it can't go on.
+    fn refuse(&mut self, now: Instant, id: usize, why: String) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        tracing::warn!(role = ?connection.role, "a message is unusable: {why}");
+        let was = std::mem::replace(&mut connection.role, Role::Answered);
+        connection.say_last(now, &FromPlanner::Refused(why));
+        self.left(now, id, was);
+    }
+
+    fn close(&mut self, now: Instant, id: usize) {
+        if let Some(connection) = self.connections.remove(&id) {
+            self.left(now, id, connection.role);
+        }
+    }
+
+    /// Somebody is no longer there.
+    fn left(&mut self, now: Instant, id: usize, was: Role) {
+        let connection = ConnectionId(id);
+        match was {
+            Role::Initiator(_) => {
+                self.configure_surely(now, |it, said| it.disconnected(now, connection, said));
+            }
+            Role::Operator => self.configure_surely(now, |it, _| it.operator_left(connection)),
+            Role::Newcomer | Role::Peer(_) | Role::Answered => {}
+        }
+    }
+}
+
+/// Makes the store that a planner's live configuration starts from, once.
+///
+/// # Errors
+///
+/// Live configuration is off in the file, there is a store already, or it can't be written: one line.
+pub fn create_store(config: &Config) -> Result<(), String> {
+    let section = config.configuration.as_ref().ok_or("the file has no section `configuration`")?;
+    Configuration::create(section).map_err(|why| format!("configuration: {why}"))
 }
--- a/tests/net/planner.rs
+++ b/tests/net/planner.rs
@@ -214,10 +214,10 @@
     // 3 GB are announced, a message that is none, another schema, a report before the greeting.
     assert!(said(&[0xb2, 0xd0, 0x5e, 0x00]).contains("at most"));
     said(&[0, 0, 0, 3, 9, 9, 9]);
-    assert!(said(&hello(2)).contains("schema 2 is not known, 1 is"));
+    assert!(said(&hello(3)).contains("schema 3 is not known, 2 is"));
     assert!(said(&[0, 0, 0, 1, 2]).contains("a greeting comes first"));
     // Half a message, and then nothing: it is closed after a while.
-    said(&hello(1)[..6]);
+    said(&hello(2)[..6]);
     let taken = report(&program)["plans_taken"].as_u64().unwrap();
     eventually("plans go on", || {
         (report(&program)["plans_taken"].as_u64().unwrap() > taken + 3).then_some(())
@@ -257,7 +257,7 @@
     for _ in 0..1000 {
         match TcpStream::connect(planners.addresses[0]) {
             Ok(mut stream) => {
-                stream.write_all(&[0, 0, 0, 4, 0, 1, 1, b'x']).unwrap();
+                stream.write_all(&[0, 0, 0, 4, 0, 2, 1, b'x']).unwrap();
                 wave.push(stream);
             }
             Err(_) => break,
