--- a/src/planner/configuration.rs
+++ b/src/planner/configuration.rs
@@ -5,10 +5,12 @@
 use super::peers::Peers;
 use super::settings;
 use crate::interface::Settings;
-use crate::revisions::agreement::{self, Parameters, Proposal, ProposalError, ProposalId, Replica, VoterId};
+use crate::revisions::agreement::{
+    self, Parameters, Proposal, ProposalError, ProposalId, Replica, VoterId, LONGEST_AUTHOR,
+};
 use crate::revisions::distribution::{self, ConnectionId, Distributor};
 use crate::revisions::document::Names;
-use crate::revisions::store::{DiskStore, StoreError};
+use crate::revisions::store::{DiskStore, GroupId, Identity, ReplicaStore, StoreError};
 use crate::revisions::{Acknowledgement, Revision, RevisionId, RevisionNumber};
 use mio::{Registry, Token};
 use std::collections::BTreeMap;
@@ -18,9 +20,6 @@
 const TICK: Duration = Duration::from_millis(100);
 /// How long a proposal waits for its decision: longer than the replacement of a leader takes.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(5);
-/// Bytes of an author's name.
-pub(super) const LONGEST_AUTHOR: usize = 128;
-
 /// Something to be said.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Said {
@@ -55,8 +54,7 @@
     /// There is one already, or the directory can't be written to: one line.
     pub fn create(config: &settings::Configuration) -> Result<(), String> {
         config.read_initiator()?;
-        DiskStore::create(&config.directory, config.voter, &config.voters())
-            .map_err(|error| error.to_string())
+        DiskStore::create(&config.directory, identity(config)).map(drop).map_err(|error| error.to_string())
     }
 
     /// Goes on from the store.
@@ -72,7 +70,12 @@
     ) -> Result<Self, String> {
         let base = config.read_initiator()?;
         let directory = config.directory.display();
-        let store = DiskStore::open(&config.directory).map_err(|error| format!("{directory}: {error}"))?;
+        let store = DiskStore::open(&config.directory).map_err(|error| error.to_string())?;
+        if *store.identity() != identity(config) {
+            return Err(format!(
+                "{directory}: the store of another planner, or made for another list of planners"
+            ));
+        }
         let parameters = Parameters {
             id: config.voter,
             voters: config.voters(),
@@ -317,6 +320,12 @@
     }
 }
 
+/// Whose store a planner's is.
+fn identity(config: &settings::Configuration) -> Identity {
+    let group = GroupId::of_names(config.planners.iter().map(String::as_str));
+    Identity { group, voter: config.voter, voters: config.voters() }
+}
+
 /// Checks an author's name; the error is one line.
 pub(super) fn check_author(author: &str) -> Result<(), String> {
     if author.is_empty() || author.len() > LONGEST_AUTHOR || author.chars().any(char::is_control) {
--- a/src/planner/connection.rs
+++ b/src/planner/connection.rs
@@ -2,7 +2,7 @@
 
 use super::frame::{self, ToPlanner, HEAD, MOST};
 use crate::conn::{Conn, ReadEnd};
-use crate::revisions::agreement::VoterId;
+use crate::revisions::agreement::{VoterId, LONGEST_MESSAGE};
 use serde::Serialize;
 use std::time::{Duration, Instant};
 
@@ -13,8 +13,8 @@
 pub(super) const MOST_UNREAD: usize = 256 * 1024;
 /// The longest first message: a greeting, or an operator's command with a document in it.
 const LONGEST_GREETING: usize = 256 * 1024;
-/// The longest message of another planner: all revisions that are kept, at their largest.
-const LONGEST_AGREEMENT: usize = 8 * 1024 * 1024;
+/// The longest message of another planner: one of the agreement, with what goes round it.
+const LONGEST_OF_PEER: usize = LONGEST_MESSAGE + 64;
 
 /// What the far side is.
 #[derive(Clone, Debug, PartialEq)]
@@ -101,7 +101,7 @@
         match self.role {
             Role::Newcomer => LONGEST_GREETING,
             Role::Initiator(_) => MOST,
-            Role::Peer(_) => LONGEST_AGREEMENT,
+            Role::Peer(_) => LONGEST_OF_PEER,
             Role::Operator | Role::Answered => READ_AWAY,
         }
     }
--- a/src/planner/operator.rs
+++ b/src/planner/operator.rs
@@ -256,6 +256,10 @@
                 self.may_go_on = true;
                 "no quorum".to_string()
             }
+            Ok(OperatorReply::Refused(ProposalError::Busy)) => {
+                self.may_go_on = true;
+                "too many proposals wait there".to_string()
+            }
             Ok(OperatorReply::Refused(ProposalError::Unknown)) | Err(AskError::NoAnswer(_)) => {
                 (self.is_unknown, self.may_go_on) = (true, true);
                 "not known".to_string()
