--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -174,7 +174,7 @@
         let planners = (!config.planners.is_empty()).then(|| {
             let (addresses, settings) = (&config.planners, settings.clone());
             let (partitions, name) = (config.partitions, config.name.as_str());
-            let names = None;
+            let names = config.live_configuration.then(|| config.names());
             Planners::new(
                 addresses,
                 partitions,
@@ -323,10 +323,18 @@
         }
     }
 
+    /// A revision of the live configuration that is ready is in force from here on, between two turns of the loop.
     fn take_over_prepared(&mut self, now: Instant) {
-        let Some(planners) = &mut self.planners else { return };
-        if let Some(prepared) = planners.prepared_configuration() {
-            planners.configuration_taken_over(now, &prepared);
+        let prepared = self.planners.as_mut().and_then(Planners::prepared_configuration);
+        let Some(prepared) = prepared else { return };
+        match self.take_over_configuration(now, &prepared) {
+            Ok(()) => {
+                self.planners
+                    .iter_mut()
+                    .for_each(|planners| planners.configuration_taken_over(now, &prepared));
+            }
+            // It was checked against the same settings when it came.
+            Err(why) => tracing::error!(revision = %prepared.id, ?why, "a revision is not taken over"),
         }
     }
 
