--- a/src/planner/operator/fleet.rs
+++ b/src/planner/operator/fleet.rs
@@ -12,6 +12,8 @@
 
 /// The pause between two looks.
 const PAUSE: Duration = Duration::from_millis(200);
+/// An initiator that was connected so short a time ago counts as one that is: its connection may only have broken.
+const RECENT: Duration = Duration::from_secs(3);
 /// Initiators that are named in one line; of more only the number is told.
 const MOST_NAMED: usize = 20;
 
@@ -26,14 +28,14 @@
     pub initiators: Vec<InitiatorStatus>,
 }
 
-/// How far a revision has come.
+/// How far a revision has come, at the initiators that are connected or were until a moment ago.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Progress {
-    /// Connected initiators where it, or a later one, is in force.
+    /// Initiators where it, or a later one, is in force.
     pub in_force: usize,
-    /// Connected initiators where it is not, and may come to be.
+    /// Initiators where it is not, and may come to be.
     pub missing: Vec<String>,
-    /// Connected initiators that refuse it, and why.
+    /// Initiators that refuse it, and why.
     pub refused: Vec<(String, String)>,
 }
 
@@ -76,7 +78,10 @@
     /// How far a revision has come.
     pub fn progress(&self, number: RevisionNumber) -> Progress {
         let mut progress = Progress::default();
-        for initiator in self.initiators.iter().filter(|initiator| initiator.connected) {
+        let counts = |initiator: &&InitiatorStatus| {
+            initiator.connected || Duration::from_millis(initiator.silent_ms) < RECENT
+        };
+        for initiator in self.initiators.iter().filter(counts) {
             let name = initiator.initiator.clone();
             match &initiator.refused {
                 _ if initiator.in_force.number >= number => progress.in_force += 1,
--- a/src/planner/operator/fleet/tests.rs
+++ b/src/planner/operator/fleet/tests.rs
@@ -53,6 +53,15 @@
     assert_eq!(text, wanted);
 }
 
+#[test]
+fn an_initiator_whose_connection_has_just_broken_is_waited_for() {
+    let mut broken = initiator("a", false, 4, None);
+    broken.silent_ms = 2999;
+    assert_eq!(fleet(vec![(5, vec![broken.clone()])]).progress(RevisionNumber(5)).missing, ["a"]);
+    broken.silent_ms = 3000;
+    assert_eq!(fleet(vec![(5, vec![broken])]).progress(RevisionNumber(5)), Progress::default());
+}
+
 #[test]
 fn a_refusal_that_one_planner_knows_is_shown() {
     let one = vec![initiator("a", true, 4, Some(5))];
