--- a/src/rules/reconfigure.rs
+++ b/src/rules/reconfigure.rs
@@ -27,9 +27,6 @@
         if !keeps_what_is_fixed(&self.settings, &settings) {
             return Err(FixedSettings);
         }
-        if settings == self.settings {
-            return Ok(());
-        }
         let now = now.max(self.now);
         self.change_limits(now, &settings);
         self.change_cold(now, &settings);
@@ -48,7 +45,7 @@
             let (terms, share) = (volume.terms, self.shares.get(id));
             let before = limit_part(&self.settings, terms, share);
             match (before, limit_part(settings, terms, share)) {
-                (before, after) if before == after => {}
+                (Some(before), Some(after)) if before == after => {}
                 (Some((rate, burst)), after) => {
                     volume.limit.fill(now, rate, burst);
                     volume.limit.level = volume.limit.level.min(after.map_or(0.0, |(_, burst)| burst));
