--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -327,14 +327,11 @@
     fn take_over_prepared(&mut self, now: Instant) {
         let prepared = self.planners.as_mut().and_then(Planners::prepared_configuration);
         let Some(prepared) = prepared else { return };
-        match self.take_over_configuration(now, &prepared) {
-            Ok(()) => {
-                self.planners
-                    .iter_mut()
-                    .for_each(|planners| planners.configuration_taken_over(now, &prepared));
-            }
-            // It was checked against the same settings when it came.
-            Err(why) => tracing::error!(revision = %prepared.id, ?why, "a revision is not taken over"),
+        let taken = self.take_over_configuration(now, &prepared);
+        let Some(planners) = &mut self.planners else { return };
+        match taken {
+            Ok(()) => planners.configuration_taken_over(now, &prepared),
+            Err(fixed) => planners.configuration_not_taken_over(&prepared, fixed.to_string()),
         }
     }
 
