--- a/src/planner/operator/fleet.rs
+++ b/src/planner/operator/fleet.rs
@@ -84,7 +84,9 @@
         for initiator in self.initiators.iter().filter(counts) {
             let name = initiator.initiator.clone();
             match &initiator.refused {
-                _ if initiator.in_force.number >= number => progress.in_force += 1,
+                _ if initiator.in_force.number >= number && self.knows(initiator.in_force) => {
+                    progress.in_force += 1
+                }
                 Some((refused, why)) if refused.number >= number => {
                     progress.refused.push((name, why.clone()))
                 }
@@ -94,6 +96,11 @@
         progress
     }
 
+    /// Whether a revision may be one that these planners accepted. An initiator may hold one of planners before them.
+    fn knows(&self, revision: RevisionId) -> bool {
+        revision.number < self.newest.number || revision == self.newest
+    }
+
     /// Lines for people.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/planner/operator/fleet/tests.rs
+++ b/src/planner/operator/fleet/tests.rs
@@ -62,6 +62,15 @@
     assert_eq!(fleet(vec![(5, vec![broken])]).progress(RevisionNumber(5)), Progress::default());
 }
 
+#[test]
+fn a_revision_that_these_planners_never_accepted_is_not_in_force() {
+    let mut foreign = initiator("a", true, 5, None);
+    foreign.in_force.hash.0[0] ^= 1;
+    let all = vec![foreign, initiator("b", true, 5, None), initiator("c", true, 6, None)];
+    let progress = fleet(vec![(5, all)]).progress(RevisionNumber(5));
+    assert_eq!((progress.in_force, progress.missing), (1, vec!["a".to_string(), "c".to_string()]));
+}
+
 #[test]
 fn a_refusal_that_one_planner_knows_is_shown() {
     let one = vec![initiator("a", true, 4, Some(5))];
--- a/src/planner/operator/tests.rs
+++ b/src/planner/operator/tests.rs
@@ -1,4 +1,36 @@
 use super::*;
+use std::net::TcpListener;
+use std::sync::mpsc;
+
+/// Stands in for planners: each connection is the next planner's, which says what it was asked for, and answers or closes.
+fn planners(answers: Vec<Option<OperatorReply>>) -> (Planners, mpsc::Receiver<OperatorRequest>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addresses = vec![listener.local_addr().unwrap()];
+    let (asked, requests) = mpsc::channel();
+    std::thread::spawn(move || {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().unwrap();
+            let (mut input, mut bytes) = (Vec::new(), [0; 4096]);
+            let request = loop {
+                match frame::take::<ToPlanner>(&mut input).unwrap() {
+                    Some(ToPlanner::Operator { request, .. }) => break request,
+                    Some(other) => panic!("{other:?}"),
+                    None => {
+                        let count = stream.read(&mut bytes).unwrap();
+                        input.extend_from_slice(&bytes[..count]);
+                    }
+                }
+            };
+            asked.send(request).unwrap();
+            if let Some(reply) = answer {
+                let mut output = Vec::new();
+                frame::write(&FromPlanner::OperatorReply(reply), &mut output);
+                stream.write_all(&output).unwrap();
+            }
+        }
+    });
+    (Planners { addresses }, requests)
+}
 
 fn address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 1))
@@ -44,3 +76,21 @@
     assert_eq!(round.hear(address(), invalid).unwrap().unwrap_err().exit_code(), 1);
     assert_eq!(round.hear(address(), Ok(OperatorReply::Accepted(newest))).unwrap(), Ok(newest));
 }
+
+#[test]
+fn a_submission_whose_outcome_is_unknown_is_asked_for_again_under_its_id() {
+    let accepted = RevisionId { number: RevisionNumber(1), ..RevisionId::none() };
+    let unknown = OperatorReply::Refused(ProposalError::Unknown);
+    let answers = vec![None, Some(unknown), Some(OperatorReply::Accepted(accepted))];
+    let (planners, requests) = planners(answers);
+    let expected = Expected::Number(RevisionNumber(0));
+    assert_eq!(planners.submit(Document::default(), expected, "test"), Ok(accepted));
+    let ids: Vec<ProposalId> = requests
+        .iter()
+        .map(|request| match request {
+            OperatorRequest::Submit(proposal) => proposal.id,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(ids, [ids[0]; 3]);
+}
--- a/tests/net/configuration.rs
+++ b/tests/net/configuration.rs
@@ -389,6 +389,33 @@
     }
 }
 
+/// As the operators' page says how: with the others up and in contact, and the one that leads restarted.
+#[test]
+fn a_planner_that_has_lost_its_disk_comes_back_and_counts() {
+    let mut cluster = Cluster::start(8);
+    cluster.settle(0);
+    assert_eq!(cluster.submit("0", "[plans.base]\nparts = 2\n").code, 0);
+    cluster.kill(2);
+    std::fs::remove_dir_all(cluster.files.join("store-2")).unwrap();
+    assert_eq!(cluster.submit("1", "[plans.base]\nparts = 3\n").code, 0);
+    cluster.settle(0);
+    let leader = cluster.status()["planners"][0]["status"]["leader"].clone();
+    let leader = (0..2).find(|number| leader == format!("planner-{number}")).unwrap();
+    assert_eq!(cluster.create(2).code, 0);
+    cluster.restart(2);
+    cluster.kill(leader);
+    cluster.restart(leader);
+    cluster.settle(0);
+    assert_eq!(cluster.newest(), 2);
+    // One of the others goes: it is needed for a majority now.
+    cluster.kill(0);
+    let said = cluster.submit("2", "[plans.base]\nparts = 4\n");
+    assert_eq!(said.code, 0, "{said:?}");
+    let own = cluster.addresses[2].to_string();
+    let shown = run(&["configuration", "show", "--planners", &own, "2"]);
+    assert!(shown.output.contains("parts = 3"), "{shown:?}");
+}
+
 #[test]
 fn an_initiator_that_starts_again_catches_up_and_one_that_cannot_is_named() {
     let node = Node::echo();
