--- /dev/null
+++ b/src/fleet/health/tests.rs
@@ -0,0 +1,14 @@
+use super::*;
+
+#[test]
+fn it_waits_longer_the_less_it_trusts_itself_and_only_so_long() {
+    let (mut health, second) = (Health::default(), Duration::from_secs(1));
+    assert_eq!(health.stretch(second), second);
+    health.was_late();
+    health.heard_nobody();
+    assert_eq!(health.stretch(second), 4 * second);
+    (0..20).for_each(|_| health.was_late());
+    assert_eq!(health.stretch(second), 8 * second);
+    (0..20).for_each(|_| health.was_answered());
+    assert_eq!(health.stretch(second), second);
+}
