A member's state machine in a module for each of its jobs

It is now src/fleet/member/ with a module for each of them; the queue of gossip is a type of its own, and the long functions that dispatch a message, take an update, plan a view and end a fetch are cut.

--- /dev/null
+++ b/src/fleet/member/fetch.rs
@@ -0,0 +1,80 @@
+//! Fetching a view that another member has and this one missed, a page a datagram, and serving the pages of one's own.
+
+use super::receive::Sender;
+use super::{Action, Member, MOST_MEMBERS};
+use crate::fleet::frame::{Entry, Word, PAGE};
+use crate::fleet::view::{View, ViewId};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Pages of the largest view that is fetched: its members, and as many names that are over.
+const MOST_PAGES: usize = 2 * MOST_MEMBERS / PAGE;
+/// A page may take as long as so many answers.
+const ANSWERS_A_PAGE: u32 = 2;
+
+/// A view that is being fetched.
+pub(super) struct Fetch {
+    pub(super) id: ViewId,
+    from: String,
+    pages: BTreeMap<u16, Vec<Entry>>,
+    count: u16,
+    /// Without another page by then it is given up.
+    pub(super) until: Duration,
+}
+
+impl Member {
+    /// Somebody has a later view: its first page is asked for, unless that one or a later one is being fetched already.
+    pub(super) fn ask_for_view(&mut self, now: Duration, sender: Sender, actions: &mut Vec<Action>) {
+        let id = sender.view;
+        if self.fetch.as_ref().is_some_and(|fetch| fetch.id >= id && now < fetch.until) {
+            return;
+        }
+        let until = now + self.own.answer * ANSWERS_A_PAGE;
+        let from = sender.name.to_string();
+        self.fetch = Some(Fetch { id, from, pages: BTreeMap::new(), count: 0, until });
+        self.say(sender.address, Word::Fetch(0), actions);
+    }
+
+    /// Sends a page of the view that this member has.
+    pub(super) fn serve_page(&mut self, page: u16, to: SocketAddr, actions: &mut Vec<Action>) {
+        if self.view.id == ViewId::default() {
+            return;
+        }
+        let pages = self.view.entries().count().div_ceil(PAGE).max(1) as u16;
+        if page < pages {
+            let lines = self.view.entries().skip(usize::from(page) * PAGE).take(PAGE).collect();
+            self.say(to, Word::Page { page, pages, lines }, actions);
+        }
+    }
+
+    /// A page came: the next one is asked for, or the view is whole.
+    pub(super) fn take_page(
+        &mut self,
+        now: Duration,
+        sender: Sender,
+        (page, pages, lines): (u16, u16, Vec<Entry>),
+        actions: &mut Vec<Action>,
+    ) {
+        let id = sender.view;
+        if usize::from(pages) > MOST_PAGES {
+            return;
+        }
+        let Some(fetch) = self.fetch.as_mut().filter(|it| it.id == id && id > self.view.id) else { return };
+        fetch.count = pages;
+        fetch.pages.insert(page, lines);
+        if fetch.pages.len() < usize::from(fetch.count) {
+            let next = (0..pages).find(|page| !fetch.pages.contains_key(page)).unwrap_or(0);
+            fetch.until = now + self.own.answer * ANSWERS_A_PAGE;
+            return self.say(sender.address, Word::Fetch(next), actions);
+        }
+        let Some(fetch) = self.fetch.take() else { return };
+        let view = View::of(id, fetch.pages.into_values().flatten());
+        self.enter(now, view, &format!("fetched of {}", fetch.from), actions);
+    }
+
+    /// Gives up a fetch whose next page did not come.
+    pub(super) fn give_up_fetch(&mut self, now: Duration) {
+        self.fetch = self.fetch.take().filter(|fetch| now < fetch.until);
+    }
+}
--- /dev/null
+++ b/src/fleet/member/identity.rs
@@ -0,0 +1,55 @@
+//! One member over two processes: what the older one gives, and how the newer one goes on from it.
+
+use super::{Member, Parameters, Phase};
+use crate::fleet::frame::Entry;
+use crate::fleet::life::Life;
+use crate::fleet::view::{Acceptor, View, ViewId};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// What one process of a member gives to the one that takes its place: the same life, with all that it promised.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    name: String,
+    life: Life,
+    claim: u32,
+    dead: ViewId,
+    view: ViewId,
+    entries: Vec<Entry>,
+    acceptor: Acceptor,
+}
+
+impl Member {
+    /// What the next process of this member goes on from. This one is to say nothing after that.
+    pub fn identity(&self) -> Identity {
+        let (life, claim, dead, view) = (self.life, self.claim, self.dead, self.view.id);
+        let entries = self.view.entries().collect();
+        Identity {
+            name: self.own.name.clone(),
+            life,
+            claim,
+            dead,
+            view,
+            entries,
+            acceptor: self.acceptor.clone(),
+        }
+    }
+
+    /// Goes on in the place of the process before; as one that begins to join, where that had another name.
+    pub fn resume(own: Parameters, identity: Identity, now: Duration) -> Self {
+        let mut member = Member::new(own, now);
+        if identity.name != member.own.name {
+            return member;
+        }
+        (member.life, member.claim, member.dead) = (identity.life, identity.claim, identity.dead);
+        member.acceptor = identity.acceptor;
+        if identity.view != ViewId::default() {
+            let before = std::mem::replace(&mut member.view, View::of(identity.view, identity.entries));
+            member.follow_view(now, &before);
+            if member.view.members.get(&member.own.name).is_some_and(|line| line.life == member.life) {
+                member.phase = Phase::Member;
+            }
+        }
+        member
+    }
+}
