--- a/lab/src/membership/model.rs
+++ b/lab/src/membership/model.rs
@@ -4,9 +4,8 @@
 use stateright::{Checker, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use topazpath::fleet::frame::Line;
 use topazpath::fleet::life::Life;
-use topazpath::fleet::view::{Acceptor, Ballot, Change, Proposal, View, ViewId};
+use topazpath::fleet::view::{Acceptor, Ballot, Change, Line, Proposal, View, ViewId};
 
 /// What is checked.
 #[derive(Clone, Debug)]
--- a/lab/src/membership/world/tests.rs
+++ b/lab/src/membership/world/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use topazpath::fleet::frame::Line;
+use topazpath::fleet::view::Line;
 
 fn settled() -> World {
     let mut world = World::new(Terms::default(), 4, 1);
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -2,7 +2,7 @@
 //! in front. Whatever comes is bounded by the length of a datagram, and is passed over whole where it is not sound.
 
 use super::life::{Life, Rumor, LONGEST_NAME};
-use super::view::{Ballot, Change, ViewId, MOST_CHANGES};
+use super::view::{Ballot, Change, Entry, Line, ViewId, MOST_CHANGES};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -17,26 +17,6 @@
 /// Lines of a view in one datagram.
 pub const PAGE: usize = 16;
 
-/// A member of a view, with where it is.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Line {
-    /// Its name.
-    pub name: String,
-    /// Its life.
-    pub life: Life,
-    /// Where it hears the others.
-    pub address: SocketAddr,
-}
-
-/// A line of a view as it is fetched: a member, or the last life of a name that is in it no more.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Entry {
-    /// It is in the view.
-    There(Line),
-    /// It was in an earlier one.
-    Over(String, Life),
-}
-
 /// What is said, besides the rumors that go along.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Word {
--- a/src/fleet/member/agreement.rs
+++ b/src/fleet/member/agreement.rs
@@ -3,10 +3,10 @@
 
 use super::receive::Sender;
 use super::{Action, Member, Phase};
-use crate::fleet::frame::{Line, Word};
+use crate::fleet::frame::Word;
 use crate::fleet::life::{Rumor, Standing};
 use crate::fleet::suspicion::{bounds, Suspicion};
-use crate::fleet::view::{Ballot, Change, Proposal, ViewId, MOST_CHANGES};
+use crate::fleet::view::{Ballot, Change, Line, Proposal, ViewId, MOST_CHANGES};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/src/fleet/member/bootstrap.rs
+++ b/src/fleet/member/bootstrap.rs
@@ -2,9 +2,9 @@
 //! up for another first one.
 
 use super::{Action, Member, Phase};
-use crate::fleet::frame::{tag, Line};
+use crate::fleet::frame::tag;
 use crate::fleet::life::Life;
-use crate::fleet::view::{Acceptor, View, ViewId, FOUNDER_BITS};
+use crate::fleet::view::{Acceptor, Line, View, ViewId, FOUNDER_BITS};
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/src/fleet/member/fetch.rs
+++ b/src/fleet/member/fetch.rs
@@ -2,8 +2,8 @@
 
 use super::receive::Sender;
 use super::{Action, Member, MOST_MEMBERS};
-use crate::fleet::frame::{Entry, Word, PAGE};
-use crate::fleet::view::{View, ViewId};
+use crate::fleet::frame::{Word, PAGE};
+use crate::fleet::view::{Entry, View, ViewId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/src/fleet/member/identity.rs
+++ b/src/fleet/member/identity.rs
@@ -1,9 +1,8 @@
 //! One member over two processes: what the older one gives, and how the newer one goes on from it.
 
 use super::{Member, Parameters, Phase};
-use crate::fleet::frame::Entry;
 use crate::fleet::life::Life;
-use crate::fleet::view::{Acceptor, View, ViewId};
+use crate::fleet::view::{Acceptor, Entry, View, ViewId};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
--- a/src/fleet/member/install.rs
+++ b/src/fleet/member/install.rs
@@ -1,9 +1,8 @@
 //! Going by another view: the table of peers follows it, and the member finds its own place in it.
 
 use super::{Action, Member, Peer, Phase};
-use crate::fleet::frame::Line;
 use crate::fleet::life::{Life, Rumor, Standing};
-use crate::fleet::view::{Acceptor, View, ViewId};
+use crate::fleet::view::{Acceptor, Line, View, ViewId};
 use std::time::Duration;
 
 impl Member {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -14,4 +14,5 @@
 pub mod settings;
 pub mod speaker;
 pub mod suspicion;
+pub mod traffic;
 pub mod view;
--- a/src/fleet/report.rs
+++ b/src/fleet/report.rs
@@ -2,7 +2,7 @@
 
 use super::life::Standing;
 use super::member::{Member, Peer};
-use super::speaker::Traffic;
+use super::traffic::Traffic;
 use serde_json::json;
 use std::time::Duration;
 
--- a/src/fleet/speaker.rs
+++ b/src/fleet/speaker.rs
@@ -4,6 +4,7 @@
 use super::member::{Action, Event, Identity, Member};
 use super::report;
 use super::settings::Settings;
+use super::traffic::Traffic;
 use mio::net::UdpSocket;
 use mio::{Interest, Registry, Token};
 use std::io::ErrorKind;
@@ -17,17 +18,6 @@
 const REPORTED: Duration = Duration::from_millis(100);
 const FEW: u32 = 64;
 
-/// What came and went.
-#[derive(Clone, Copy, Debug, Default)]
-#[allow(missing_docs)]
-pub struct Traffic {
-    pub datagrams_in: u64,
-    pub datagrams_out: u64,
-    pub bytes_out: u64,
-    pub unreadable: u64,
-    pub not_sent: u64,
-}
-
 /// A member with its socket.
 pub struct Speaker {
     socket: UdpSocket,
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -2,10 +2,10 @@
 //! number, with the members of the view before as acceptors. What an acceptor has promised it keeps in memory alone,
 //! which is enough: a process that starts again is another life, and is in no view before one has taken it in.
 
-use super::frame::{Entry, Line};
 use super::life::Life;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 /// Members that come and go from one view to the next: what one datagram holds.
 pub const MOST_CHANGES: usize = 12;
@@ -29,6 +29,26 @@
     }
 }
 
+/// A member of a view, with where it is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Line {
+    /// Its name.
+    pub name: String,
+    /// Its life.
+    pub life: Life,
+    /// Where it hears the others.
+    pub address: SocketAddr,
+}
+
+/// A line of a view as it is fetched: a member, or the last life of a name that is in it no more.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Entry {
+    /// It is in the view.
+    There(Line),
+    /// It was in an earlier one.
+    Over(String, Life),
+}
+
 /// A try to decide, higher than all before; the name tells apart who tries at once.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Ballot {
--- a/src/fleet/view/tests.rs
+++ b/src/fleet/view/tests.rs
@@ -1,6 +1,5 @@
 use super::*;
 use crate::fleet::life::Life;
-use std::net::SocketAddr;
 
 pub(super) fn line(name: &str) -> Line {
     Line { name: name.into(), life: Life(1), address: SocketAddr::from(([127, 0, 0, 1], 1)) }
