--- a/lab/src/membership/comparison.rs
+++ b/lab/src/membership/comparison.rs
@@ -1,5 +1,5 @@
-//! Other ways to tell who is gone, weighed against the one that was built: heartbeats of all to all with a fixed time-out,
-//! the same judged by phi accrual, and the program's own members that do not know when they were late.
+//! Other ways to tell who is gone, weighed against the one that was built: heartbeats of all to all with a fixed
+//! time-out, the same judged by phi accrual, and the program's own members that do not know when they were late.
 
 use super::world::{Fault, Network, Terms, Timed, World};
 use rand::{Rng, SeedableRng};
@@ -84,10 +84,15 @@
     mean + deviation * (2.0 * PHI * std::f64::consts::LN_10 - (4.0 * PHI).ln()).sqrt()
 }
 
-/// Members of the program taken out of the view in that time, and doubts.
-fn members(loss: f64, pauses: &[(f64, f64, usize)], hours: f64, (told, seed): (bool, u64)) -> (usize, usize) {
+/// Members of the program taken out of the view in that time, and suspicions.
+fn members(
+    loss: f64,
+    pauses: &[(f64, f64, usize)],
+    hours: f64,
+    (tells_lateness, seed): (bool, u64),
+) -> (usize, usize) {
     let mut world = World::new(Terms::default(), SIZE, seed);
-    world.tells_lateness = told;
+    world.tells_lateness = tells_lateness;
     let second = Duration::from_secs(1);
     world.run(20 * second);
     let (begin, time) = (world.now, Duration::from_secs_f64(hours * 3600.0));
@@ -105,7 +110,7 @@
 
 /// One table: members held for gone that were there, per 1,000 member-hours.
 pub fn weigh(hours: f64, seed: u64) -> Value {
-    println!("five members, {hours} h each: held for gone though there, per 1,000 member-hours (doubts per member and hour)");
+    println!("five members, {hours} h each: held for gone though there, per 1,000 member-hours (suspicions per member and hour)");
     println!("  loss   pauses   heartbeats     phi   without own lateness               built");
     let mut rows = Vec::new();
     for loss in [0.0, 0.01, 0.1, 0.3] {
@@ -114,18 +119,19 @@
             let per = |count: usize| count as f64 / (SIZE as f64 * hours) * 1000.0;
             let fixed = per(beats(Judge::Fixed, loss, &pauses, hours, seed));
             let phi = per(beats(Judge::Phi, loss, &pauses, hours, seed));
-            let (untold, untold_doubts) = members(loss, &pauses, hours, (false, seed));
-            let (built, doubts) = members(loss, &pauses, hours, (true, seed));
-            let [doubts, untold_doubts] = [doubts, untold_doubts].map(|it| it as f64 / SIZE as f64 / hours);
+            let (untold, untold_suspicions) = members(loss, &pauses, hours, (false, seed));
+            let (built, suspicions) = members(loss, &pauses, hours, (true, seed));
+            let [suspicions, untold_suspicions] =
+                [suspicions, untold_suspicions].map(|it| it as f64 / SIZE as f64 / hours);
             println!(
-                "  {loss:<5}  {paused:<6} {fixed:>12.0} {phi:>7.0} {:>11.0} ({untold_doubts:>8.1}) {:>7.0} ({doubts:>8.1})",
+                "  {loss:<5}  {paused:<6} {fixed:>12.0} {phi:>7.0} {:>11.0} ({untold_suspicions:>8.1}) {:>7.0} ({suspicions:>8.1})",
                 per(untold),
                 per(built)
             );
             rows.push(json!({
                 "loss": loss, "pauses": paused, "heartbeats": fixed, "phi": phi,
-                "without_own_lateness": per(untold), "its_doubts_per_hour": untold_doubts,
-                "built": per(built), "doubts_per_hour": doubts,
+                "without_own_lateness": per(untold), "its_doubts_per_hour": untold_suspicions,
+                "built": per(built), "doubts_per_hour": suspicions,
             }));
         }
     }
--- a/lab/src/membership/model.rs
+++ b/lab/src/membership/model.rs
@@ -4,8 +4,8 @@
 use stateright::{Checker, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use topazpath::fleet::life::Life;
-use topazpath::fleet::view::{Acceptor, Ballot, Change, Line, Proposal, View, ViewId};
+use topazpath::fleet::update::Generation;
+use topazpath::fleet::view::{Acceptor, Ballot, Change, Proposal, View, ViewId, ViewMember};
 
 /// What is checked.
 #[derive(Clone, Debug)]
@@ -54,10 +54,10 @@
     fn view(&self) -> View {
         let line = |who| {
             let address = SocketAddr::from(([127, 0, 0, 1], 1 + who as u16));
-            (name(who), Line { name: name(who), life: Life(1), address })
+            (name(who), ViewMember { name: name(who), generation: Generation(1), address })
         };
-        let members: BTreeMap<String, Line> = (0..self.members).map(line).collect();
-        View { id: ViewId { founded: 1, number: 1 }, members, ..View::default() }
+        let members: BTreeMap<String, ViewMember> = (0..self.members).map(line).collect();
+        View { id: ViewId { bootstrap: 1, number: 1 }, members, ..View::default() }
     }
 
     /// Puts messages on their way; what a member says to itself is heard at once, as in the program.
@@ -147,7 +147,7 @@
             Action::Arrives(message) => self.arrives(&mut state, message),
             Action::Restarts(who) => {
                 state.restarts -= 1;
-                // Another life has no vote in this view; one that is taken for the same has forgotten.
+                // Another generation has no vote in this view; one that is taken for the same has forgotten.
                 state.acceptors[who] = self.forgets.then(Acceptor::default);
                 state.proposals.iter_mut().skip(who).take(1).for_each(|proposal| *proposal = None);
                 state.tries.iter_mut().skip(who).take(1).for_each(|tries| *tries = 0);
--- a/lab/src/membership/processes.rs
+++ b/lab/src/membership/processes.rs
@@ -1,6 +1,6 @@
-//! `topazpath-lab fleet`: membership among real processes of the program. Processes are stopped and continued, killed and
-//! started again, cut one way and both, their datagrams lost, doubled and late; what each of them says of the fleet is
-//! recorded and checked.
+//! `topazpath-lab fleet`: membership among real processes of the program. Processes are stopped and continued, killed
+//! and started again, cut one way and both, their datagrams lost, doubled and late; what each of them says of the fleet
+//! is recorded and checked.
 
 use crate::arguments::Parts;
 use crate::stand_ins::machines::{Fleet, Machine, Setup};
@@ -17,7 +17,7 @@
 
 /// Longer than anything here takes on a loaded machine.
 const PATIENCE: Duration = Duration::from_secs(60);
-/// What each process is set up with: a doubt lasts 0.8 to 2.4 s.
+/// What each process is set up with: a suspicion lasts 0.8 to 2.4 s.
 const PERIOD: Duration = Duration::from_millis(200);
 const ANSWER: Duration = Duration::from_millis(60);
 /// How often each is asked what it knows.
@@ -27,7 +27,7 @@
 #[derive(Clone, Debug)]
 pub struct Said {
     phase: String,
-    life: u64,
+    generation: u64,
     quorate: bool,
     view: Option<(Id, Lives)>,
     states: BTreeMap<String, String>,
@@ -36,7 +36,7 @@
 impl Said {
     /// What a timeline tells of it.
     pub fn summary(&self) -> Value {
-        json!({ "phase": self.phase, "life": self.life, "quorate": self.quorate, "view": self.view, "states": self.states })
+        json!({ "phase": self.phase, "life": self.generation, "quorate": self.quorate, "view": self.view, "states": self.states })
     }
 
     fn read(report: &Value) -> Option<Said> {
@@ -52,7 +52,7 @@
         });
         Some(Said {
             phase: report["phase"].as_str()?.to_string(),
-            life: report["life"].as_u64()?,
+            generation: report["life"].as_u64()?,
             quorate: report["quorate"].as_bool()?,
             view,
             states: states.collect(),
@@ -65,7 +65,7 @@
 pub struct Breaches {
     /// Two views of one number that differ.
     pub split_views: usize,
-    /// A life that was out of a view and is in a later one.
+    /// A generation that was out of a view and is in a later one.
     pub revived: usize,
     /// Members that were taken out though nothing was done to them that allows it.
     pub false_gone: usize,
@@ -81,7 +81,7 @@
     }
 }
 
-/// Founding and number of a view, and its members with their lives.
+/// Founding and number of a view, and its members with their generations.
 type Id = (u64, u64);
 type Lives = BTreeMap<String, u64>;
 
@@ -110,12 +110,16 @@
         let mut last: Option<(&Id, &Lives)> = None;
         for (id, members) in &self.views {
             if let Some((before, known)) = last.filter(|(before, _)| before.0 == id.0) {
-                for (name, life) in known.iter().filter(|(name, life)| members.get(*name) != Some(life)) {
-                    out.insert((before.0, name.clone(), *life));
+                for (name, generation) in
+                    known.iter().filter(|(name, generation)| members.get(*name) != Some(generation))
+                {
+                    out.insert((before.0, name.clone(), *generation));
                     breaches.false_gone += usize::from(!allowed.contains(name));
                 }
             }
-            let back = members.iter().filter(|(name, life)| out.contains(&(id.0, name.to_string(), **life)));
+            let back = members
+                .iter()
+                .filter(|(name, generation)| out.contains(&(id.0, name.to_string(), **generation)));
             breaches.revived += back.count();
             last = Some((id, members));
         }
@@ -301,7 +305,7 @@
 pub enum Scene {
     /// Nothing.
     Calm,
-    /// One is stopped for less, and for longer, than a doubt lasts.
+    /// One is stopped for less, and for longer, than a suspicion lasts.
     ShortPause,
     LongPause,
     /// All are stopped at once.
@@ -379,7 +383,7 @@
     let formed = rig.together(&all)?;
     let (mut allowed, mut running, mut gone, mut knew) = (Vec::new(), all.clone(), None, 0);
     let secs = Duration::from_secs;
-    // The one that founded the fleet, which tries first for other views.
+    // The one that bootstrapped the fleet, which tries first for other views.
     let victim = 0;
     match scene {
         Scene::Calm => rig.watch(secs(3)),
@@ -517,7 +521,7 @@
     })
 }
 
-/// Until most of the others have a view without the life that a member has now.
+/// Until most of the others have a view without the generation that a member has now.
 fn until_gone(rig: &mut Rig, victim: usize) -> Result<Duration, String> {
     let name = rig.names[victim].clone();
     let last = rig.history.views.values().next_back().and_then(|members| members.get(&name).copied());
@@ -533,25 +537,25 @@
 
 /// Datagrams that are none, of another version, of another fleet, too long, and in a member's name from elsewhere.
 fn make_noise(rig: &mut Rig) -> Result<(), String> {
-    use topazpath::fleet::frame::{tag, Frame, Word};
-    use topazpath::fleet::life::Life;
+    use topazpath::fleet::frame::{tag, Frame, Message};
+    use topazpath::fleet::update::Generation;
     use topazpath::fleet::view::ViewId;
     let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).map_err(|error| error.to_string())?;
-    let forged = |name: &str, life: u64, word: Word| Frame {
+    let forged = |name: &str, generation: u64, message: Message| Frame {
         from: name.into(),
-        life: Life(life),
-        view: ViewId { founded: u64::MAX, number: 9 },
-        word,
-        rumors: vec![],
+        generation: Generation(generation),
+        view: ViewId { bootstrap: u64::MAX, number: 9 },
+        message,
+        updates: vec![],
     };
-    let life = rig.ask(1).map_or(0, |said| said.life);
-    let sound = forged("m-1", life, Word::Ping(1)).write(tag("lab"));
+    let generation = rig.ask(1).map_or(0, |said| said.generation);
+    let sound = forged("m-1", generation, Message::Ping(1)).write(tag("lab"));
     for _ in 0..200 {
         for port in rig.segment.ports() {
             let datagrams = [
                 sound.clone(),
-                forged("m-1", life, Word::Taken(Life(u64::MAX - 1))).write(tag("lab")),
-                forged("m-2", life, Word::Ping(1)).write(tag("another")),
+                forged("m-1", generation, Message::NameTaken(Generation(u64::MAX - 1))).write(tag("lab")),
+                forged("m-2", generation, Message::Ping(1)).write(tag("another")),
                 sound[..sound.len() / 2].to_vec(),
                 [&[7], &sound[1..]].concat(),
                 vec![0xff; 9000],
--- a/lab/src/membership/processes/tests.rs
+++ b/lab/src/membership/processes/tests.rs
@@ -2,10 +2,10 @@
 use crate::sync::processor::{alone, steady};
 
 fn said(number: u64, members: &[(&str, u64)]) -> Said {
-    let members = members.iter().map(|(name, life)| (name.to_string(), *life)).collect();
+    let members = members.iter().map(|(name, generation)| (name.to_string(), *generation)).collect();
     Said {
         phase: "member".into(),
-        life: 1,
+        generation: 1,
         quorate: true,
         view: Some(((1, number), members)),
         states: BTreeMap::new(),
--- a/lab/src/membership/script.rs
+++ b/lab/src/membership/script.rs
@@ -1,5 +1,5 @@
-//! `topazpath-lab fleet-script FILE`: a script of faults among real processes, and a timeline of what came of it: faults,
-//! phases, views and log lines as JSON, a line each, on one clock.
+//! `topazpath-lab fleet-script FILE`: a script of faults among real processes, and a timeline of what came of it:
+//! faults, phases, views and log lines as JSON, a line each, on one clock.
 
 use super::processes::{Breaches, Rig};
 use crate::arguments::Common;
@@ -197,7 +197,7 @@
     }
     steps.sort();
     let (mut under_way, mut logged): (Vec<usize>, Vec<usize>) = (Vec::new(), vec![0; members]);
-    let mut told: Vec<Option<Value>> = vec![None; members];
+    let mut reported: Vec<Option<Value>> = vec![None; members];
     while start.elapsed() < Duration::from_secs(script.seconds) || !steps.is_empty() {
         while steps.first().is_some_and(|(at, ..)| *at <= start.elapsed()) {
             let (_, number, begins) = steps.remove(0);
@@ -216,9 +216,9 @@
         }
         for who in 0..members {
             let said = rig.ask(who).map(|said| said.summary());
-            if let Some(said) = said.filter(|said| told[who].as_ref() != Some(said)) {
+            if let Some(said) = said.filter(|said| reported[who].as_ref() != Some(said)) {
                 timeline.add("says", json!({ "member": rig.names[who], "of": said }))?;
-                told[who] = Some(said);
+                reported[who] = Some(said);
             }
             let log = rig.machines[who].log();
             let lines: Vec<&str> = log.lines().filter(|line| line.contains("fleet")).collect();
--- a/lab/src/membership/simulation.rs
+++ b/lab/src/membership/simulation.rs
@@ -1,5 +1,6 @@
-//! `topazpath-lab fleet-sim`: membership in virtual time. Fault schedules drawn by the thousand with every rule checked,
-//! how soon a dead member is known, what loss and pauses do against other ways, what it costs by the size of the fleet.
+//! `topazpath-lab fleet-sim`: membership in virtual time. Fault schedules drawn by the thousand with every rule
+//! checked, how soon a dead member is known, what loss and pauses do against other ways, what it costs by the size of
+//! the fleet.
 
 use super::world::{Breaches, Fault, Network, Terms, Timed, World};
 use super::{comparison, model};
@@ -50,7 +51,7 @@
     Ok(sound)
 }
 
-/// Plays the schedule of one seed and tells all that was noted: what a broken rule is looked into with.
+/// Plays the schedule of one seed and prints all that was noted, to investigate a broken rule.
 fn replay(seed: u64) -> bool {
     let (world, faults) = play(seed);
     faults.iter().for_each(|it| println!("{:?} for {:?}: {:?}", it.at, it.lasts, it.fault));
@@ -67,10 +68,15 @@
     for who in 0..world.size() {
         let Some(member) = world.member(who) else { continue };
         let view = member.view().map(|view| {
-            let lives = view.members.values().map(|line| (&line.name, line.life.0 % 1_000_000_000));
-            (view.id, lives.collect::<Vec<_>>())
+            let generations =
+                view.members.values().map(|line| (&line.name, line.generation.0 % 1_000_000_000));
+            (view.id, generations.collect::<Vec<_>>())
         });
-        println!("n{who:04} {} life {} {view:?}", member.phase().name(), member.life().0 % 1_000_000_000);
+        println!(
+            "n{who:04} {} generation {} {view:?}",
+            member.phase().name(),
+            member.generation().0 % 1_000_000_000
+        );
     }
     println!("{:?}", world.breaches);
     world.breaches.sum() == 0
@@ -125,7 +131,7 @@
     let mut world = World::new(Terms::default(), size, seed);
     faults.iter().for_each(|fault| world.plan(fault.clone()));
     world.run(over);
-    // Longer than the longest doubt, a view and a join take one after another, several times over.
+    // Longer than the longest suspicion, a view and a join take one after another, several times over.
     for _ in 0..12 {
         world.run(world.now + 10 * SECOND);
         if world.is_settled() {
@@ -190,15 +196,15 @@
     None
 }
 
-/// From the death of a member to the first doubt and to the first view without it; and from that doubt on against the
-/// least that the settings allow.
+/// From the death of a member to the first suspicion and to the first view without it; and from that suspicion on
+/// against the least that the settings allow.
 fn detection(repeats: u64, seed: u64) -> Value {
     let terms = Terms::default();
     println!(
-        "a member is killed: first doubt and gone, in ms; from the first doubt to gone over the least doubt"
+        "a member is killed: first suspicion and gone, in ms; from the first suspicion to gone over the least suspicion"
     );
     let rows = [3, 5, 10, 30].map(|size| {
-        let (mut doubts, mut gones, mut lasted) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut suspicions, mut gones, mut lasted) = (Vec::new(), Vec::new(), Vec::new());
         for repeat in 0..repeats {
             let Some(mut world) = together(terms, size, seed + repeat) else { continue };
             world.run(world.now + 10 * SECOND);
@@ -210,19 +216,19 @@
                 let noted = world.notes.iter().find(|it| it.at >= killed && it.what == what && it.name == name);
                 noted.map(|noted| noted.at - killed)
             };
-            let (doubt, gone) = (first("suspect"), first("gone"));
-            doubts.extend(doubt);
+            let (suspicion, gone) = (first("suspect"), first("gone"));
+            suspicions.extend(suspicion);
             gones.extend(gone);
-            lasted.extend(gone.zip(doubt).map(|(gone, doubt)| gone.saturating_sub(doubt)));
+            lasted.extend(gone.zip(suspicion).map(|(gone, suspicion)| gone.saturating_sub(suspicion)));
         }
-        let (least, _) = topazpath::fleet::suspicion::bounds(terms.period, terms.doubt_periods, size);
-        let (doubt, gone) = (spread(&doubts), spread(&gones));
+        let (least, _) = topazpath::fleet::suspicion::bounds(terms.period, terms.suspicion_periods, size);
+        let (suspicion, gone) = (spread(&suspicions), spread(&gones));
         let over = spread(&lasted).map(|lasted| lasted / (least.as_secs_f64() * 1000.0));
         println!(
-            "  {size:>3} members  n {:>3}  doubt p50 {:>6.0} p99 {:>6.0}  gone p50 {:>6.0} p99 {:>6.0}  least {:>6.0}  over {:.2} {:.2}",
-            gones.len(), doubt[0], doubt[1], gone[0], gone[1], least.as_secs_f64() * 1000.0, over[0], over[1]
+            "  {size:>3} members  n {:>3}  suspicion p50 {:>6.0} p99 {:>6.0}  gone p50 {:>6.0} p99 {:>6.0}  least {:>6.0}  over {:.2} {:.2}",
+            gones.len(), suspicion[0], suspicion[1], gone[0], gone[1], least.as_secs_f64() * 1000.0, over[0], over[1]
         );
-        json!({ "members": size, "n": gones.len(), "doubt_ms": doubt, "gone_ms": gone, "over_least": over })
+        json!({ "members": size, "n": gones.len(), "doubt_ms": suspicion, "gone_ms": gone, "over_least": over })
     });
     json!(rows)
 }
--- a/lab/src/membership/world.rs
+++ b/lab/src/membership/world.rs
@@ -1,5 +1,5 @@
-//! Members of a fleet in virtual time: the real pure code of each, a network between them that loses, delays, doubles and
-//! is cut, processes that are stopped, killed and started again, clocks that drift. All of it from one seed.
+//! Members of a fleet in virtual time: the real pure code of each, a network between them that loses, delays, doubles
+//! and is cut, processes that are stopped, killed and started again, clocks that drift. All of it from one seed.
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -8,9 +8,9 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use topazpath::fleet::frame::Frame;
-use topazpath::fleet::life::Life;
 use topazpath::fleet::member::{Action, Event, Member, Parameters, Phase};
 use topazpath::fleet::suspicion::bounds;
+use topazpath::fleet::update::Generation;
 use topazpath::fleet::view::{View, ViewId};
 
 /// Unix time at which each play begins, in milliseconds.
@@ -23,9 +23,9 @@
 pub struct Terms {
     pub period: Duration,
     pub answer: Duration,
-    pub lookers: usize,
-    pub doubt_periods: f64,
-    /// How many of the members may found the fleet.
+    pub helpers: usize,
+    pub suspicion_periods: f64,
+    /// How many of the members are seeds.
     pub seeds: usize,
 }
 
@@ -34,8 +34,8 @@
         Terms {
             period: Duration::from_millis(500),
             answer: Duration::from_millis(150),
-            lookers: 3,
-            doubt_periods: 6.0,
+            helpers: 3,
+            suspicion_periods: 6.0,
             seeds: 3,
         }
     }
@@ -107,7 +107,7 @@
     /// When its process began, and how fast its clock runs.
     origin: Duration,
     drift: f64,
-    lives: u64,
+    generations: u64,
     paused: Option<Duration>,
     inbox: Vec<(Frame, SocketAddr)>,
     /// Numbers its wake-ups: an older one is void.
@@ -132,9 +132,9 @@
 pub struct Breaches {
     /// Two views of one number that differ.
     pub split_views: usize,
-    /// A life that was out of a view and is in a later one.
+    /// A generation that was out of a view and is in a later one.
     pub revived: usize,
-    /// A member was taken out though nothing had kept it from most of the view for as long as a doubt lasts.
+    /// A member was taken out though nothing had kept it from most of the view for as long as a suspicion lasts.
     pub false_gone: usize,
     /// Members that are not where they belong once all has been well for a while.
     pub unsettled: usize,
@@ -190,7 +190,7 @@
                 member: None,
                 origin: Duration::ZERO,
                 drift: 1.0 + DRIFT * (2.0 * random.random::<f64>() - 1.0),
-                lives: 0,
+                generations: 0,
                 paused: None,
                 inbox: Vec::new(),
                 wakes: 0,
@@ -242,18 +242,18 @@
         let seeds = seeds.map(|it| (it.name.clone(), it.address)).collect();
         let seed = self.random.random();
         let machine = &mut self.machines[who];
-        // Two starts within a millisecond would be one life: a process takes longer to start.
-        machine.lives += 1;
-        let life = Life(EPOCH_MS + self.now.as_millis() as u64 + machine.lives);
+        // Two starts within a millisecond would be one generation: a process takes longer to start.
+        machine.generations += 1;
+        let generation = Generation(EPOCH_MS + self.now.as_millis() as u64 + machine.generations);
         let own = Parameters {
             name: machine.name.clone(),
             address: machine.address,
-            life,
+            generation,
             seeds,
             period: self.terms.period,
             answer: self.terms.answer,
-            lookers: self.terms.lookers,
-            doubt_periods: self.terms.doubt_periods,
+            helpers: self.terms.helpers,
+            suspicion_periods: self.terms.suspicion_periods,
             seed,
         };
         machine.origin = self.now;
@@ -441,21 +441,24 @@
             self.breaches.split_views += usize::from(*known != view);
             return;
         }
-        let lives = |view: &View| -> Vec<(String, Life)> {
-            view.members.values().map(|line| (line.name.clone(), line.life)).collect()
+        let generations = |view: &View| -> Vec<(String, Generation)> {
+            view.members.values().map(|line| (line.name.clone(), line.generation)).collect()
         };
-        let own = self.views.range(..view.id).filter(|(id, _)| id.founded == view.id.founded);
+        let own = self.views.range(..view.id).filter(|(id, _)| id.bootstrap == view.id.bootstrap);
         let own: Vec<&View> = own.map(|(_, view)| view).collect();
-        // Once out, a life stays out.
-        let last = own.last().map(|view| lives(view)).unwrap_or_default();
-        let was_in = |life: &(String, Life)| own.iter().any(|view| lives(view).contains(life));
-        self.breaches.revived += lives(&view).iter().filter(|it| !last.contains(it) && was_in(it)).count();
-        let (_, longest) = bounds(self.terms.period, self.terms.doubt_periods, view.members.len() + 1);
-        for (name, life) in last.iter().filter(|it| !lives(&view).contains(it)) {
+        // Once out, a generation stays out.
+        let last = own.last().map(|view| generations(view)).unwrap_or_default();
+        let was_in =
+            |generation: &(String, Generation)| own.iter().any(|view| generations(view).contains(generation));
+        self.breaches.revived +=
+            generations(&view).iter().filter(|it| !last.contains(it) && was_in(it)).count();
+        let (_, longest) = bounds(self.terms.period, self.terms.suspicion_periods, view.members.len() + 1);
+        for (name, generation) in last.iter().filter(|it| !generations(&view).contains(it)) {
             let gone = self.machines.iter().find(|machine| machine.name == *name);
             let there = gone.filter(|machine| {
                 let same = machine.member.as_ref().is_some_and(|member| {
-                    member.life() == *life && !matches!(member.phase(), Phase::Leaving | Phase::Left)
+                    member.generation() == *generation
+                        && !matches!(member.phase(), Phase::Leaving | Phase::Left)
                 });
                 let since = machine.well_since;
                 same && since != Duration::MAX && self.now.saturating_sub(since) > longest
@@ -468,16 +471,16 @@
     /// Once all has been well for a while, everybody that runs is in one view, with everybody else, and nobody else is.
     pub fn settle(&mut self) {
         let running: Vec<&Machine> = self.machines.iter().filter(|it| it.member.is_some()).collect();
-        let wanted: Vec<(String, Life)> = running
+        let wanted: Vec<(String, Generation)> = running
             .iter()
-            .filter_map(|it| it.member.as_ref().map(|member| (it.name.clone(), member.life())))
+            .filter_map(|it| it.member.as_ref().map(|member| (it.name.clone(), member.generation())))
             .collect();
         let settled = |machine: &&&Machine| {
             let Some(member) = &machine.member else { return false };
-            let lives = member.view().map(|view| {
-                view.members.values().map(|line| (line.name.clone(), line.life)).collect::<Vec<_>>()
+            let generations = member.view().map(|view| {
+                view.members.values().map(|line| (line.name.clone(), line.generation)).collect::<Vec<_>>()
             });
-            member.phase() == Phase::Member && lives.as_ref() == Some(&wanted)
+            member.phase() == Phase::Member && generations.as_ref() == Some(&wanted)
         };
         self.breaches.unsettled += running.len() - running.iter().filter(settled).count();
     }
--- a/lab/src/membership/world/tests.rs
+++ b/lab/src/membership/world/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use topazpath::fleet::view::Line;
+use topazpath::fleet::view::ViewMember;
 
 fn settled() -> World {
     let mut world = World::new(Terms::default(), 4, 1);
@@ -27,11 +27,11 @@
     world.entered(next(3, None));
     assert_eq!(world.breaches.revived, 1);
     let mut later = next(4, None);
-    let line = Line { life: Life(u64::MAX), ..later.members["n0001"].clone() };
+    let line = ViewMember { generation: Generation(u64::MAX), ..later.members["n0001"].clone() };
     later.members.insert("n0001".into(), line);
     let before = world.breaches;
     world.entered(later);
-    assert_eq!(world.breaches.revived, before.revived, "another life may come");
+    assert_eq!(world.breaches.revived, before.revived, "another generation may come");
 }
 
 #[test]
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -1,65 +1,65 @@
-//! What members say to each other over UDP: a frame a datagram, in postcard's form, with a version and the fleet's name
-//! in front. Whatever comes is bounded by the length of a datagram, and is passed over whole where it is not sound.
+//! Messages between members over UDP: a frame a datagram, in postcard's form, with a version and the fleet's tag in
+//! front. Whatever comes is bounded by the length of a datagram, and is dropped whole where it is not valid.
 
-use super::life::{Life, Rumor, LONGEST_NAME};
-use super::view::{Ballot, Change, Entry, Line, ViewId, MOST_CHANGES};
+use super::update::{Generation, Update, MAX_NAME_BYTES};
+use super::view::{Ballot, Change, ViewEntry, ViewId, ViewMember, MAX_CHANGES};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// The form that is spoken here.
+/// The version of this form.
 pub const VERSION: u8 = 1;
 /// A datagram is not longer: it passes most paths in one piece.
-pub const MOST_BYTES: usize = 1400;
-/// Bytes of a datagram that rumors may take up.
-pub const RUMOR_BYTES: usize = 900;
-/// Rumors that one datagram can hold at all.
-const MOST_RUMORS: usize = 64;
-/// Lines of a view in one datagram.
+pub const MAX_BYTES: usize = 1400;
+/// Bytes of a datagram that updates may take up.
+pub const UPDATE_BYTES: usize = 900;
+/// Updates that one datagram can hold at all.
+const MAX_UPDATES: usize = 64;
+/// Entries of a view in one datagram.
 pub const PAGE: usize = 16;
 
-/// What is said, besides the rumors that go along.
+/// The message of a frame, besides the updates that are piggybacked on it. The order of the variants is the wire's.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Word {
-    /// Are you there? Answered with the same number.
+pub enum Message {
+    /// A probe; answered by an `Ack` of the same number.
     Ping(u32),
-    /// Yes.
+    /// The answer to a probe.
     Ack(u32),
-    /// Please look whether this one is there; answered by a `Found` either way.
-    Look {
+    /// Asks a helper to probe another member; answered by an `IndirectResult` either way.
+    IndirectProbe {
         /// Comes back with the answer.
         number: u32,
-        /// Who is looked for.
+        /// The member to be probed.
         name: String,
-        /// Where.
+        /// Its address.
         address: SocketAddr,
     },
-    /// Whether it was.
-    Found {
-        /// As asked.
+    /// What came of an indirect probe.
+    IndirectResult {
+        /// The number of the request.
         number: u32,
         /// It answered.
         there: bool,
     },
-    /// The sender asks to be taken in; its rumor goes along.
+    /// The sender asks to be taken in; its update goes along.
     Join,
-    /// The sender's name is another life's, which began here.
-    Taken(Life),
+    /// The receiver's name is held by this generation.
+    NameTaken(Generation),
     /// Asks for a page of the view that the receiver has.
     Fetch(u16),
     /// A page of the sender's view.
     Page {
-        /// Which.
+        /// Its number, from 0.
         page: u16,
         /// How many there are.
         pages: u16,
-        /// Its lines.
-        lines: Vec<Entry>,
+        /// Its entries.
+        entries: Vec<ViewEntry>,
     },
-    /// Asks whoever is in the sender's view for its vote on the next one, and says what it is to change.
+    /// Asks the members of the sender's view for their votes on the next one, and names whom it is to remove.
     Prepare {
         /// The proposer's number.
         ballot: Ballot,
-        /// Members that are to go. Who can still reach one says so.
+        /// Members that are to go. Whoever can still reach one objects.
         leaves: Vec<String>,
     },
     /// A vote: no lower ballot gets one any more.
@@ -69,7 +69,7 @@
         /// What was accepted at a lower one.
         accepted: Option<(Ballot, Change)>,
         /// Members that are to go and that answer here.
-        objects: Vec<String>,
+        objections: Vec<String>,
     },
     /// The next view is to be this one.
     Propose {
@@ -92,21 +92,21 @@
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Frame {
-    /// Who says it.
+    /// The sender.
     pub from: String,
-    /// In which life.
-    pub life: Life,
+    /// Its generation.
+    pub generation: Generation,
     /// The view that it has.
     pub view: ViewId,
-    /// What it says.
-    pub word: Word,
-    /// What it has heard of others, and says of itself.
-    pub rumors: Vec<Rumor>,
+    /// The message.
+    pub message: Message,
+    /// Piggybacked updates about the sender and others.
+    pub updates: Vec<Update>,
 }
 
-/// Names a fleet in each datagram: another fleet's members on the same port are not heard.
+/// Names a fleet in each datagram: datagrams of another fleet on the same port are dropped.
 pub fn tag(fleet: &str) -> u64 {
-    // FNV-1a: it tells fleets apart, and keeps no secrets.
+    // FNV-1a: it distinguishes fleets, and keeps no secrets.
     fleet
         .bytes()
         .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
@@ -121,7 +121,7 @@
 
     /// Reads a datagram; an error says what is wrong with it.
     pub fn read(bytes: &[u8], tag: u64) -> Result<Frame, &'static str> {
-        if bytes.len() > MOST_BYTES {
+        if bytes.len() > MAX_BYTES {
             return Err("too long");
         }
         if bytes.first() != Some(&VERSION) {
@@ -132,48 +132,48 @@
         match () {
             () if !rest.is_empty() => Err("more than a frame"),
             () if fleet != tag => Err("another fleet"),
-            () if !frame.is_sound() => Err("out of bounds"),
+            () if !frame.is_valid() => Err("out of bounds"),
             () => Ok(frame),
         }
     }
 
-    fn is_sound(&self) -> bool {
-        let named = |name: &String| !name.is_empty() && name.len() <= LONGEST_NAME;
-        let line = |line: &Line| named(&line.name) && line.address.port() != 0;
-        let entry = |entry: &Entry| match entry {
-            Entry::There(it) => line(it),
-            Entry::Over(name, _) => named(name),
+    fn is_valid(&self) -> bool {
+        let named = |name: &String| !name.is_empty() && name.len() <= MAX_NAME_BYTES;
+        let listed = |listed: &ViewMember| named(&listed.name) && listed.address.port() != 0;
+        let entry = |entry: &ViewEntry| match entry {
+            ViewEntry::Member(it) => listed(it),
+            ViewEntry::Ended(name, _) => named(name),
         };
         let changes = |change: &Change| {
-            change.joins.len() + change.leaves.len() <= MOST_CHANGES
-                && change.joins.iter().all(line)
+            change.joins.len() + change.leaves.len() <= MAX_CHANGES
+                && change.joins.iter().all(listed)
                 && change.leaves.iter().all(named)
         };
-        let word = match &self.word {
-            Word::Look { name, address, .. } => named(name) && address.port() != 0,
-            Word::Page { page, pages, lines } => {
-                page < pages && lines.len() <= PAGE && lines.iter().all(entry)
+        let message = match &self.message {
+            Message::IndirectProbe { name, address, .. } => named(name) && address.port() != 0,
+            Message::Page { page, pages, entries } => {
+                page < pages && entries.len() <= PAGE && entries.iter().all(entry)
             }
-            Word::Prepare { leaves, ballot } => {
-                leaves.len() <= MOST_CHANGES && leaves.iter().all(named) && named(&ballot.by)
+            Message::Prepare { leaves, ballot } => {
+                leaves.len() <= MAX_CHANGES && leaves.iter().all(named) && named(&ballot.by)
             }
-            Word::Promise { accepted, objects, ballot } => {
+            Message::Promise { accepted, objections, ballot } => {
                 let accepted = accepted.as_ref();
-                objects.len() <= MOST_CHANGES
-                    && objects.iter().all(named)
+                objections.len() <= MAX_CHANGES
+                    && objections.iter().all(named)
                     && named(&ballot.by)
                     && accepted.is_none_or(|(at, change)| named(&at.by) && changes(change))
             }
-            Word::Propose { ballot, change } => named(&ballot.by) && changes(change),
-            Word::Decided { change, .. } => changes(change),
-            Word::Accepted(ballot) => named(&ballot.by),
-            Word::Ping(_) | Word::Ack(_) | Word::Found { .. } => true,
-            Word::Join | Word::Taken(_) | Word::Fetch(_) => true,
+            Message::Propose { ballot, change } => named(&ballot.by) && changes(change),
+            Message::Decided { change, .. } => changes(change),
+            Message::Accepted(ballot) => named(&ballot.by),
+            Message::Ping(_) | Message::Ack(_) | Message::IndirectResult { .. } => true,
+            Message::Join | Message::NameTaken(_) | Message::Fetch(_) => true,
         };
         named(&self.from)
-            && word
-            && self.rumors.len() <= MOST_RUMORS
-            && self.rumors.iter().all(Rumor::is_sound)
+            && message
+            && self.updates.len() <= MAX_UPDATES
+            && self.updates.iter().all(Update::is_valid)
     }
 }
 
--- a/src/fleet/frame/tests.rs
+++ b/src/fleet/frame/tests.rs
@@ -1,18 +1,29 @@
 use super::*;
-use crate::fleet::life::Standing;
+use crate::fleet::update::Standing;
 
-fn frame(word: Word) -> Frame {
+fn frame(message: Message) -> Frame {
     let address = SocketAddr::from(([127, 0, 0, 1], 7200));
     let by = "w".to_string();
-    let rumor =
-        Rumor { name: "b".into(), address, life: Life(3), claim: 1, standing: Standing::Suspect { by } };
-    Frame { from: "a".into(), life: Life(7), view: ViewId::default(), word, rumors: vec![rumor] }
+    let update = Update {
+        name: "b".into(),
+        address,
+        generation: Generation(3),
+        incarnation: 1,
+        standing: Standing::Suspect { by },
+    };
+    Frame {
+        from: "a".into(),
+        generation: Generation(7),
+        view: ViewId::default(),
+        message,
+        updates: vec![update],
+    }
 }
 
 #[test]
 fn what_is_written_is_read_and_nothing_else_is() {
     let tag = tag("palermo");
-    let whole = frame(Word::Ping(7));
+    let whole = frame(Message::Ping(7));
     let bytes = whole.write(tag);
     assert_eq!(Frame::read(&bytes, tag), Ok(whole.clone()));
     assert_eq!(Frame::read(&bytes, super::tag("other")), Err("another fleet"));
@@ -21,10 +32,10 @@
     }
     assert_eq!(Frame::read(&[bytes.clone(), vec![0]].concat(), tag), Err("more than a frame"));
     assert_eq!(Frame::read(&[&[9], &bytes[1..]].concat(), tag), Err("another version"));
-    assert_eq!(Frame::read(&[0; MOST_BYTES + 1], tag), Err("too long"));
-    let long = Frame { from: "x".repeat(LONGEST_NAME + 1), ..whole.clone() };
+    assert_eq!(Frame::read(&[0; MAX_BYTES + 1], tag), Err("too long"));
+    let long = Frame { from: "x".repeat(MAX_NAME_BYTES + 1), ..whole.clone() };
     assert_eq!(Frame::read(&long.write(tag), tag), Err("out of bounds"));
-    let none = frame(Word::Page { page: 1, pages: 1, lines: vec![] });
+    let none = frame(Message::Page { page: 1, pages: 1, entries: vec![] });
     assert_eq!(Frame::read(&none.write(tag), tag), Err("out of bounds"));
 }
 
--- a/src/fleet/health.rs
+++ b/src/fleet/health.rs
@@ -1,41 +1,42 @@
-//! How far a member trusts itself. Who was stopped, starved of its core or cut off gets no answers either, and doubts
-//! itself before it doubts another: its probes wait longer, and doubts that it gathered meanwhile do not count.
+//! Local health, as in Lifeguard: a process that was stopped, starved of its core or cut off gets no answers either. It
+//! suspects itself before it suspects another: its probes wait longer, and suspicions that it gathered meanwhile do not
+//! count.
 
 use std::time::Duration;
 
-/// The most that is taken off its trust in itself: probes wait so many times as long, and once more.
-const WORST: u32 = 7;
+/// The worst score: probes wait so many times as long, and once more.
+const MAX_SCORE: u32 = 7;
 
-/// Trust in oneself; 0 is all of it.
+/// The score of this process; 0 is healthy.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
-    lacks: u32,
+    score: u32,
 }
 
 impl Health {
     /// Its own loop was late: it could not have heard what came.
     pub fn was_late(&mut self) {
-        self.lacks = (self.lacks + 2).min(WORST);
+        self.score = (self.score + 2).min(MAX_SCORE);
     }
 
-    /// Nobody answered in time, not even those that were asked to look: it may be deaf.
+    /// Nobody answered in time, not even the helpers: it may receive nothing.
     pub fn heard_nobody(&mut self) {
-        self.lacks = (self.lacks + 1).min(WORST);
+        self.score = (self.score + 1).min(MAX_SCORE);
     }
 
     /// It was answered in time.
     pub fn was_answered(&mut self) {
-        self.lacks = self.lacks.saturating_sub(1);
+        self.score = self.score.saturating_sub(1);
     }
 
-    /// What is taken off, for people.
-    pub fn lacks(&self) -> u32 {
-        self.lacks
+    /// The score, 0 (healthy) to 7.
+    pub fn score(&self) -> u32 {
+        self.score
     }
 
-    /// A time to wait for others, as long as it trusts itself so far.
+    /// A time to wait for others, made longer by the score.
     pub fn stretch(&self, span: Duration) -> Duration {
-        span * (self.lacks + 1)
+        span * (self.score + 1)
     }
 }
 
--- a/src/fleet/health/tests.rs
+++ b/src/fleet/health/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 #[test]
-fn it_waits_longer_the_less_it_trusts_itself_and_only_so_long() {
+fn it_waits_longer_the_worse_its_health_and_only_so_long() {
     let (mut health, second) = (Health::default(), Duration::from_secs(1));
     assert_eq!(health.stretch(second), second);
     health.was_late();
--- a/src/fleet/member/fetch.rs
+++ b/src/fleet/member/fetch.rs
@@ -1,15 +1,15 @@
 //! Fetching a view that another member has and this one missed, a page a datagram, and serving the pages of one's own.
 
 use super::receive::Sender;
-use super::{Action, Member, MOST_MEMBERS};
-use crate::fleet::frame::{Word, PAGE};
-use crate::fleet::view::{Entry, View, ViewId};
+use super::{Action, Member, MAX_MEMBERS};
+use crate::fleet::frame::{Message, PAGE};
+use crate::fleet::view::{View, ViewEntry, ViewId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Pages of the largest view that is fetched: its members, and as many names that are over.
-const MOST_PAGES: usize = 2 * MOST_MEMBERS / PAGE;
+/// Pages of the largest view that is fetched: its members, and as many names that have ended.
+const MAX_PAGES: usize = 2 * MAX_MEMBERS / PAGE;
 /// A page may take as long as so many answers.
 const ANSWERS_A_PAGE: u32 = 2;
 
@@ -17,7 +17,7 @@
 pub(super) struct Fetch {
     pub(super) id: ViewId,
     from: String,
-    pages: BTreeMap<u16, Vec<Entry>>,
+    pages: BTreeMap<u16, Vec<ViewEntry>>,
     count: u16,
     /// Without another page by then it is given up.
     pub(super) until: Duration,
@@ -25,7 +25,7 @@
 
 impl Member {
     /// Somebody has a later view: its first page is asked for, unless that one or a later one is being fetched already.
-    pub(super) fn ask_for_view(&mut self, now: Duration, sender: Sender, actions: &mut Vec<Action>) {
+    pub(super) fn request_view(&mut self, now: Duration, sender: Sender, actions: &mut Vec<Action>) {
         let id = sender.view;
         if self.fetch.as_ref().is_some_and(|fetch| fetch.id >= id && now < fetch.until) {
             return;
@@ -33,7 +33,7 @@
         let until = now + self.own.answer * ANSWERS_A_PAGE;
         let from = sender.name.to_string();
         self.fetch = Some(Fetch { id, from, pages: BTreeMap::new(), count: 0, until });
-        self.say(sender.address, Word::Fetch(0), actions);
+        self.send(sender.address, Message::Fetch(0), actions);
     }
 
     /// Sends a page of the view that this member has.
@@ -43,38 +43,38 @@
         }
         let pages = self.view.entries().count().div_ceil(PAGE).max(1) as u16;
         if page < pages {
-            let lines = self.view.entries().skip(usize::from(page) * PAGE).take(PAGE).collect();
-            self.say(to, Word::Page { page, pages, lines }, actions);
+            let entries = self.view.entries().skip(usize::from(page) * PAGE).take(PAGE).collect();
+            self.send(to, Message::Page { page, pages, entries }, actions);
         }
     }
 
     /// A page came: the next one is asked for, or the view is whole.
-    pub(super) fn take_page(
+    pub(super) fn receive_page(
         &mut self,
         now: Duration,
         sender: Sender,
-        (page, pages, lines): (u16, u16, Vec<Entry>),
+        (page, pages, entries): (u16, u16, Vec<ViewEntry>),
         actions: &mut Vec<Action>,
     ) {
         let id = sender.view;
-        if usize::from(pages) > MOST_PAGES {
+        if usize::from(pages) > MAX_PAGES {
             return;
         }
         let Some(fetch) = self.fetch.as_mut().filter(|it| it.id == id && id > self.view.id) else { return };
         fetch.count = pages;
-        fetch.pages.insert(page, lines);
+        fetch.pages.insert(page, entries);
         if fetch.pages.len() < usize::from(fetch.count) {
             let next = (0..pages).find(|page| !fetch.pages.contains_key(page)).unwrap_or(0);
             fetch.until = now + self.own.answer * ANSWERS_A_PAGE;
-            return self.say(sender.address, Word::Fetch(next), actions);
+            return self.send(sender.address, Message::Fetch(next), actions);
         }
         let Some(fetch) = self.fetch.take() else { return };
         let view = View::of(id, fetch.pages.into_values().flatten());
-        self.enter(now, view, &format!("fetched of {}", fetch.from), actions);
+        self.install(now, view, &format!("fetched of {}", fetch.from), actions);
     }
 
     /// Gives up a fetch whose next page did not come.
-    pub(super) fn give_up_fetch(&mut self, now: Duration) {
+    pub(super) fn expire_fetch(&mut self, now: Duration) {
         self.fetch = self.fetch.take().filter(|fetch| now < fetch.until);
     }
 }
--- a/src/fleet/member/identity.rs
+++ b/src/fleet/member/identity.rs
@@ -1,32 +1,33 @@
 //! One member over two processes: what the older one gives, and how the newer one goes on from it.
 
 use super::{Member, Parameters, Phase};
-use crate::fleet::life::Life;
-use crate::fleet::view::{Acceptor, Entry, View, ViewId};
+use crate::fleet::update::Generation;
+use crate::fleet::view::{Acceptor, View, ViewEntry, ViewId};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// What one process of a member gives to the one that takes its place: the same life, with all that it promised.
+/// What one process of a member gives to the one that takes its place: the same generation, with all its promises.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Identity {
     name: String,
-    life: Life,
-    claim: u32,
+    generation: Generation,
+    incarnation: u32,
     dead: ViewId,
     view: ViewId,
-    entries: Vec<Entry>,
+    entries: Vec<ViewEntry>,
     acceptor: Acceptor,
 }
 
 impl Member {
-    /// What the next process of this member goes on from. This one is to say nothing after that.
+    /// What the next process of this member goes on from. This one is to send nothing after that.
     pub fn identity(&self) -> Identity {
-        let (life, claim, dead, view) = (self.life, self.claim, self.dead, self.view.id);
+        let (generation, incarnation, dead, view) =
+            (self.generation, self.incarnation, self.dead, self.view.id);
         let entries = self.view.entries().collect();
         Identity {
             name: self.own.name.clone(),
-            life,
-            claim,
+            generation,
+            incarnation,
             dead,
             view,
             entries,
@@ -40,12 +41,18 @@
         if identity.name != member.own.name {
             return member;
         }
-        (member.life, member.claim, member.dead) = (identity.life, identity.claim, identity.dead);
+        (member.generation, member.incarnation, member.dead) =
+            (identity.generation, identity.incarnation, identity.dead);
         member.acceptor = identity.acceptor;
         if identity.view != ViewId::default() {
             let before = std::mem::replace(&mut member.view, View::of(identity.view, identity.entries));
-            member.follow_view(now, &before);
-            if member.view.members.get(&member.own.name).is_some_and(|line| line.life == member.life) {
+            member.update_peers(now, &before);
+            if member
+                .view
+                .members
+                .get(&member.own.name)
+                .is_some_and(|listed| listed.generation == member.generation)
+            {
                 member.phase = Phase::Member;
             }
         }
--- a/src/fleet/member/install.rs
+++ b/src/fleet/member/install.rs
@@ -1,94 +1,102 @@
-//! Going by another view: the table of peers follows it, and the member finds its own place in it.
+//! Installing another view: the table of peers follows it, and the member finds its own place in it.
 
 use super::{Action, Member, Peer, Phase};
-use crate::fleet::life::{Life, Rumor, Standing};
-use crate::fleet::view::{Acceptor, Line, View, ViewId};
+use crate::fleet::update::{Generation, Standing, Update};
+use crate::fleet::view::{Acceptor, View, ViewId, ViewMember};
 use std::time::Duration;
 
 impl Member {
-    /// Goes by another view from now on.
-    pub(super) fn enter(&mut self, now: Duration, view: View, evidence: &str, actions: &mut Vec<Action>) {
+    /// Installs a view, unless it is not later than the present one.
+    pub(super) fn install(&mut self, now: Duration, view: View, evidence: &str, actions: &mut Vec<Action>) {
         if view.id <= self.view.id.max(self.dead) {
             return;
         }
         let before = std::mem::replace(&mut self.view, view);
-        (self.acceptor, self.proposal, self.try_at) = (Acceptor::default(), None, None);
+        (self.acceptor, self.proposal, self.propose_at) = (Acceptor::default(), None, None);
         self.fetch = self.fetch.take().filter(|fetch| fetch.id > self.view.id);
         self.counters.views += 1;
-        (self.unsettled, self.lives_changed) = (true, true);
-        let (founded, number) = (self.view.id.founded_ms(), self.view.id.number);
-        let evidence = format!("{evidence}, {} members, founded {founded}", self.view.members.len());
+        (self.view_may_change, self.generations_changed) = (true, true);
+        let (bootstrap, number) = (self.view.id.bootstrapped_ms(), self.view.id.number);
+        let evidence = format!("{evidence}, {} members, bootstrapped {bootstrap}", self.view.members.len());
         actions.push(Action::Note { name: format!("view {number}"), what: "view", evidence });
-        self.tell_who_went(&before, actions);
-        self.follow_view(now, &before);
-        self.find_itself(now, actions);
+        self.note_departures(&before, actions);
+        self.update_peers(now, &before);
+        self.find_own_place(now, actions);
     }
 
-    /// Tells of each life that was in the view before and is not in this one.
-    fn tell_who_went(&self, before: &View, actions: &mut Vec<Action>) {
+    /// Notes each generation that was in the view before and is not in this one.
+    fn note_departures(&self, before: &View, actions: &mut Vec<Action>) {
         if before.id == ViewId::default() {
             return;
         }
-        let stays = |line: &Line| self.view.members.get(&line.name).is_some_and(|now| now.life == line.life);
-        for (name, line) in before.members.iter().filter(|(_, line)| !stays(line)) {
-            let left = self.peers.get(name).is_some_and(|it| it.rumor.standing == Standing::Leaving);
+        let stays = |listed: &ViewMember| {
+            self.view.members.get(&listed.name).is_some_and(|now| now.generation == listed.generation)
+        };
+        for (name, listed) in before.members.iter().filter(|(_, listed)| !stays(listed)) {
+            let left = self.peers.get(name).is_some_and(|it| it.update.standing == Standing::Leaving);
             let what = if left { "left" } else { "gone" };
-            let evidence = format!("life {} is not in view {}", line.life.0, self.view.id.number);
+            let evidence =
+                format!("generation {} is not in view {}", listed.generation.0, self.view.id.number);
             actions.push(Action::Note { name: name.clone(), what, evidence });
         }
     }
 
     /// Keeps the table of peers in step with the view.
-    pub(super) fn follow_view(&mut self, now: Duration, before: &View) {
+    pub(super) fn update_peers(&mut self, now: Duration, before: &View) {
         let view = &self.view;
-        // Who was taken out is forgotten with all that was said of that life.
+        // A generation that was removed is forgotten with all its updates.
         self.peers.retain(|name, peer| match (view.members.get(name), before.members.get(name)) {
-            (Some(line), _) => peer.rumor.life >= line.life,
-            (None, Some(line)) => peer.rumor.life > line.life,
+            (Some(listed), _) => peer.update.generation >= listed.generation,
+            (None, Some(listed)) => peer.update.generation > listed.generation,
             (None, None) => true,
         });
-        // The view says it to all: nobody has to be told by rumors who came.
-        let said = |rumor: &Rumor| {
-            let there = view.members.get(&rumor.name).is_some_and(|line| line.life == rumor.life);
-            there && rumor.claim == 0 && matches!(rumor.standing, Standing::Joining | Standing::Alive)
+        // The view itself tells everybody who joined: that needs no updates.
+        let in_view = |update: &Update| {
+            let there =
+                view.members.get(&update.name).is_some_and(|listed| listed.generation == update.generation);
+            there && update.incarnation == 0 && matches!(update.standing, Standing::Joining | Standing::Alive)
         };
-        self.gossip.retain(|rumor| !said(rumor));
-        for line in view.members.values().filter(|line| line.name != self.own.name) {
-            let (name, address, life) = (line.name.clone(), line.address, line.life);
-            let rumor = Rumor { name, address, life, claim: 0, standing: Standing::Alive };
-            match self.peers.get_mut(&line.name) {
-                Some(peer) if rumor.replaces(&peer.rumor) => peer.rumor = rumor,
+        self.gossip.retain(|update| !in_view(update));
+        for listed in view.members.values().filter(|listed| listed.name != self.own.name) {
+            let (name, address, generation) = (listed.name.clone(), listed.address, listed.generation);
+            let update = Update { name, address, generation, incarnation: 0, standing: Standing::Alive };
+            match self.peers.get_mut(&listed.name) {
+                Some(peer) if update.replaces(&peer.update) => peer.update = update,
                 Some(_) => {}
                 None => {
-                    self.peers.insert(line.name.clone(), Peer::new(rumor, now));
+                    self.peers.insert(listed.name.clone(), Peer::new(update, now));
                 }
             }
         }
     }
 
     /// Finds its own place in a view that it entered.
-    fn find_itself(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let own = self.view.members.get(&self.own.name).map(|line| line.life);
+    fn find_own_place(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let own = self.view.members.get(&self.own.name).map(|listed| listed.generation);
         match (self.phase, own) {
-            (Phase::Joining, Some(life)) if life == self.life => {
+            (Phase::Joining, Some(generation)) if generation == self.generation => {
                 (self.next_probe, self.heard) = (now, now);
-                self.drop_doubts();
-                self.turn_to(now, Phase::Member, "taken in", actions);
+                self.drop_suspicions();
+                self.change_phase(now, Phase::Member, "taken in", actions);
+            }
+            (_, Some(generation)) if generation > self.generation => {
+                self.resolve_name_conflict(now, generation, actions)
             }
-            (_, Some(life)) if life > self.life => self.name_is_used(now, life, actions),
-            (Phase::Member, own) if own != Some(self.life) => {
+            (Phase::Member, own) if own != Some(self.generation) => {
                 // Most could not reach it for long. It comes again, as one that was never there.
-                let life = Life(self.life.0 + 1);
-                self.begin_life(now, life, "taken out of the view", actions);
+                let generation = Generation(self.generation.0 + 1);
+                self.begin_generation(now, generation, "taken out of the view", actions);
             }
             (Phase::Joining, None) => {
                 // It was taken in and out again before it heard of either.
-                if let Some(over) = self.view.over.get(&self.own.name).filter(|life| **life >= self.life) {
-                    let life = Life(over.0 + 1);
-                    self.begin_life(now, life, "its life was over", actions);
+                if let Some(ended) =
+                    self.view.ended.get(&self.own.name).filter(|generation| **generation >= self.generation)
+                {
+                    let generation = Generation(ended.0 + 1);
+                    self.begin_generation(now, generation, "its generation had ended", actions);
                 }
             }
-            (Phase::Leaving, None) => self.turn_to(now, Phase::Left, "out of the view", actions),
+            (Phase::Leaving, None) => self.change_phase(now, Phase::Left, "out of the view", actions),
             _ => {}
         }
     }
--- a/src/fleet/member/peer.rs
+++ b/src/fleet/member/peer.rs
@@ -1,31 +1,31 @@
 //! Another member, as it is known here.
 
-use crate::fleet::life::Rumor;
 use crate::fleet::suspicion::Suspicion;
+use crate::fleet::update::Update;
 use std::time::Duration;
 
 /// Another member, as it is known here.
 #[derive(Clone, Debug)]
 pub struct Peer {
-    /// The latest word of it.
-    pub rumor: Rumor,
-    /// When anything of it came.
+    /// The latest update about it.
+    pub update: Update,
+    /// When a datagram of it last came.
     pub heard: Option<Duration>,
     /// When it answered a probe of this member.
     pub answered: Option<Duration>,
-    /// When another member found it, and who.
+    /// When a helper last reached it, and which.
     pub found: Option<(Duration, String)>,
-    /// A doubt that nothing has contradicted.
-    pub doubt: Option<Suspicion>,
-    /// The doubt's time is over.
+    /// A suspicion that nothing has refuted.
+    pub suspicion: Option<Suspicion>,
+    /// The suspicion has lasted its time.
     pub lost: bool,
     /// When it last asked to be taken in.
     pub(super) since: Duration,
 }
 
 impl Peer {
-    /// One of whom nothing came yet but this.
-    pub(super) fn new(rumor: Rumor, now: Duration) -> Self {
-        Peer { rumor, heard: None, answered: None, found: None, doubt: None, lost: false, since: now }
+    /// One of which only this update is known.
+    pub(super) fn new(update: Update, now: Duration) -> Self {
+        Peer { update, heard: None, answered: None, found: None, suspicion: None, lost: false, since: now }
     }
 }
--- a/src/fleet/member/phase.rs
+++ b/src/fleet/member/phase.rs
@@ -9,9 +9,9 @@
     Member,
     /// Another process has its name: it takes no part.
     Aside,
-    /// It tells that it goes.
+    /// It announces that it leaves.
     Leaving,
-    /// It has gone.
+    /// It has left.
     Left,
 }
 
--- a/src/fleet/member/probe.rs
+++ b/src/fleet/member/probe.rs
@@ -1,28 +1,29 @@
-//! Probes: each period the next member of a shuffled round is asked whether it is there, then by way of others, and what
-//! the silence of all of them means.
+//! Probes: each period the next member of a shuffled round is probed, directly and then through helpers, and what the
+//! silence of all of them means.
 
 use super::{Action, Member};
-use crate::fleet::frame::Word;
-use crate::fleet::life::{Rumor, Standing};
+use crate::fleet::frame::Message;
+use crate::fleet::update::{Standing, Update};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Indirect probes that are made for others at once. Guards the memory against whoever asks for more.
-const MOST_LOOKS: usize = 256;
+const MAX_RELAYED: usize = 256;
 
 /// The probe of this period.
 pub(super) struct Probe {
     pub(super) number: u32,
     pub(super) name: String,
     pub(super) sent: Duration,
-    /// Others were asked, and so many of them said that they look.
+    /// Helpers that were asked; 0: not yet.
     pub(super) asked: usize,
-    pub(super) said: usize,
+    /// Helpers that answered.
+    pub(super) reports: usize,
     pub(super) answered: bool,
 }
 
 /// An indirect probe that is made for another member.
-pub(super) struct Look {
+pub(super) struct RelayedProbe {
     pub(super) number: u32,
     pub(super) until: Duration,
     pub(super) asker: SocketAddr,
@@ -31,27 +32,27 @@
 
 impl Member {
     /// Does what is due of probes.
-    pub(super) fn keep_probing(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        if self.next_asking().is_some_and(|at| at <= now) {
-            self.ask_lookers(actions);
+    pub(super) fn run_probes(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.next_indirect_probe().is_some_and(|at| at <= now) {
+            self.ask_helpers(actions);
         }
         if self.next_probe <= now {
-            self.conclude(now, actions);
-            self.forget(now);
-            self.probe_next(now, actions);
-            self.look_for_seeds(actions);
+            self.conclude_probe(now, actions);
+            self.forget_joiners(now);
+            self.send_probe(now, actions);
+            self.probe_absent_seed(actions);
             self.next_probe = now + self.health.stretch(self.own.period);
         }
     }
 
-    /// When others are asked about a probe that has no answer yet.
-    pub(super) fn next_asking(&self) -> Option<Duration> {
+    /// When helpers are asked about a probe that has no answer yet.
+    pub(super) fn next_indirect_probe(&self) -> Option<Duration> {
         let probe = self.probe.as_ref().filter(|probe| probe.asked == 0 && !probe.answered);
         probe.map(|probe| probe.sent + self.health.stretch(self.own.answer))
     }
 
     /// Probes the next member of the round.
-    fn probe_next(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    fn send_probe(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let in_view = |name: &String| self.view.members.contains_key(name);
         while self.round.pop_if(|name| !in_view(name)).is_some() {}
         if self.round.is_empty() {
@@ -59,14 +60,14 @@
         }
         let Some(name) = self.round.pop() else { return };
         let Some(peer) = self.peers.get(&name) else { return };
-        let (address, rumor) = (peer.rumor.address, peer.doubt.is_some().then(|| peer.rumor.clone()));
+        let (address, update) = (peer.update.address, peer.suspicion.is_some().then(|| peer.update.clone()));
         self.last_number = self.last_number.wrapping_add(1);
         self.counters.probes += 1;
         let number = self.last_number;
-        self.probe = Some(Probe { number, name, sent: now, asked: 0, said: 0, answered: false });
-        // Who is doubted hears so at once, and can contradict it.
-        rumor.into_iter().for_each(|rumor| self.enqueue(rumor));
-        self.say(address, Word::Ping(number), actions);
+        self.probe = Some(Probe { number, name, sent: now, asked: 0, reports: 0, answered: false });
+        // A suspect learns of it at once, and can refute it.
+        update.into_iter().for_each(|update| self.enqueue(update));
+        self.send(address, Message::Ping(number), actions);
     }
 
     /// Shuffles all others of the view.
@@ -80,32 +81,32 @@
         self.round = round;
     }
 
-    /// No answer came so far: others are asked to look.
-    fn ask_lookers(&mut self, actions: &mut Vec<Action>) {
+    /// No answer came so far: helpers are asked for an indirect probe.
+    fn ask_helpers(&mut self, actions: &mut Vec<Action>) {
         let Some(probe) = &self.probe else { return };
         let (number, name) = (probe.number, probe.name.clone());
         let others = |it: &&String| **it != name && **it != self.own.name;
         let others = self.view.members.keys().filter(others);
-        let live = |it: &&String| self.peers.get(*it).is_some_and(|peer| peer.doubt.is_none());
+        let live = |it: &&String| self.peers.get(*it).is_some_and(|peer| peer.suspicion.is_none());
         let mut others: Vec<String> = others.filter(live).cloned().collect();
-        let Some(address) = self.peers.get(&name).map(|peer| peer.rumor.address) else { return };
+        let Some(address) = self.peers.get(&name).map(|peer| peer.update.address) else { return };
         let mut asked = 0;
-        while asked < self.own.lookers && !others.is_empty() {
+        while asked < self.own.helpers && !others.is_empty() {
             let at = self.draw(others.len());
             let other = others.swap_remove(at);
-            let Some(to) = self.peers.get(&other).map(|peer| peer.rumor.address) else { continue };
-            self.say(to, Word::Look { number, name: name.clone(), address }, actions);
+            let Some(to) = self.peers.get(&other).map(|peer| peer.update.address) else { continue };
+            self.send(to, Message::IndirectProbe { number, name: name.clone(), address }, actions);
             asked += 1;
         }
-        self.counters.looks += asked as u64;
+        self.counters.indirect_probes += asked as u64;
         if let Some(probe) = &mut self.probe {
             // Where nobody else is there, nobody needs to be asked again.
             probe.asked = asked.max(1);
         }
     }
 
-    /// Probes a member for another one, that heard nothing of it.
-    pub(super) fn look_for_another(
+    /// Probes a member for another one that got no answer of it.
+    pub(super) fn relay_probe(
         &mut self,
         now: Duration,
         theirs: u32,
@@ -115,24 +116,32 @@
     ) {
         self.last_number = self.last_number.wrapping_add(1);
         let (number, until) = (self.last_number, now + self.own.answer);
-        self.looks.push(Look { number, until, asker, theirs });
-        self.looks.truncate(MOST_LOOKS);
-        self.say(address, Word::Ping(number), actions);
+        self.relayed.push(RelayedProbe { number, until, asker, theirs });
+        self.relayed.truncate(MAX_RELAYED);
+        self.send(address, Message::Ping(number), actions);
     }
 
-    /// Tells whoever asked for an indirect probe that nobody answered in time.
-    pub(super) fn end_looks(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        while let Some(at) = self.looks.iter().position(|look| look.until <= now) {
-            let look = self.looks.swap_remove(at);
-            self.say(look.asker, Word::Found { number: look.theirs, there: false }, actions);
+    /// Reports indirect probes that were not answered in time.
+    pub(super) fn expire_relayed(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        while let Some(at) = self.relayed.iter().position(|relayed| relayed.until <= now) {
+            let relayed = self.relayed.swap_remove(at);
+            self.send(
+                relayed.asker,
+                Message::IndirectResult { number: relayed.theirs, there: false },
+                actions,
+            );
         }
     }
 
     /// A probe was answered: this member's own, or one that it made for another.
-    pub(super) fn answered(&mut self, now: Duration, number: u32, from: &str, actions: &mut Vec<Action>) {
-        if let Some(at) = self.looks.iter().position(|look| look.number == number) {
-            let look = self.looks.swap_remove(at);
-            return self.say(look.asker, Word::Found { number: look.theirs, there: true }, actions);
+    pub(super) fn receive_ack(&mut self, now: Duration, number: u32, from: &str, actions: &mut Vec<Action>) {
+        if let Some(at) = self.relayed.iter().position(|relayed| relayed.number == number) {
+            let relayed = self.relayed.swap_remove(at);
+            return self.send(
+                relayed.asker,
+                Message::IndirectResult { number: relayed.theirs, there: true },
+                actions,
+            );
         }
         let Some(probe) = self.probe.as_mut().filter(|it| it.number == number && it.name == from) else {
             return;
@@ -144,11 +153,11 @@
         if let Some(peer) = self.peers.get_mut(from) {
             peer.answered = Some(now);
         }
-        self.is_there(from, "answered", actions);
+        self.clear_suspicion(from, "answered", actions);
     }
 
-    /// Somebody who was asked for an indirect probe says what came of it.
-    pub(super) fn found(
+    /// A helper reports what came of an indirect probe.
+    pub(super) fn receive_indirect_result(
         &mut self,
         now: Duration,
         number: u32,
@@ -157,42 +166,46 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(probe) = self.probe.as_mut().filter(|probe| probe.number == number) else { return };
-        probe.said += 1;
-        let all_said = probe.said >= probe.asked;
+        probe.reports += 1;
+        let all_reported = probe.reports >= probe.asked;
         if there {
             probe.answered = true;
             let name = probe.name.clone();
             if let Some(peer) = self.peers.get_mut(&name) {
                 peer.found = Some((now, by.to_string()));
             }
-            self.is_there(&name, "found by another", actions);
-        } else if all_said {
-            // Nobody who was asked found it: the rest of the period would tell no more.
-            self.conclude(now, actions);
+            self.clear_suspicion(&name, "found by another", actions);
+        } else if all_reported {
+            // No helper reached it: the rest of the period would bring nothing more.
+            self.conclude_probe(now, actions);
         }
     }
 
-    /// The probe is over: without any answer its member is suspected, or this one trusts itself less.
-    fn conclude(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    /// Ends the probe: without any answer its member is suspected, or this member lowers its own health.
+    fn conclude_probe(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let Some(probe) = self.probe.take().filter(|probe| !probe.answered) else { return };
         let few = self.view.members.len() <= 2;
-        if probe.said == 0 && !few {
-            // Nobody answered at all. It doubts itself first.
+        if probe.reports == 0 && !few {
+            // Nobody answered at all: it suspects itself first.
             return self.health.heard_nobody();
         }
         let Some(peer) = self.peers.get(&probe.name) else { return };
-        let in_view = self.view.members.get(&probe.name).is_some_and(|line| line.life == peer.rumor.life);
-        if peer.rumor.standing == Standing::Leaving || !in_view {
+        let in_view = self
+            .view
+            .members
+            .get(&probe.name)
+            .is_some_and(|listed| listed.generation == peer.update.generation);
+        if peer.update.standing == Standing::Leaving || !in_view {
             return;
         }
         let standing = Standing::Suspect { by: self.own.name.clone() };
-        let rumor = Rumor { standing, ..peer.rumor.clone() };
-        if peer.doubt.is_none() {
-            self.counters.doubts += 1;
+        let update = Update { standing, ..peer.update.clone() };
+        if peer.suspicion.is_none() {
+            self.counters.suspicions += 1;
         }
         if let Some(peer) = self.peers.get_mut(&probe.name) {
-            peer.rumor = rumor.clone();
+            peer.update = update.clone();
         }
-        self.doubt(now, &rumor, actions);
+        self.suspect(now, &update, actions);
     }
 }
--- a/src/fleet/member/receive.rs
+++ b/src/fleet/member/receive.rs
@@ -1,17 +1,17 @@
-//! What comes in: whether a datagram is its sender's at all, and which part of the member each word is for.
+//! Incoming datagrams: whether one is its sender's at all, and which part of the member its message is for.
 
 use super::{Action, Member, Phase};
-use crate::fleet::frame::{Frame, Word};
-use crate::fleet::life::{Life, Rumor};
+use crate::fleet::frame::{Frame, Message};
+use crate::fleet::update::{Generation, Update};
 use crate::fleet::view::ViewId;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Who said something.
+/// The sender of a datagram.
 #[derive(Clone, Copy)]
 pub(super) struct Sender<'a> {
     pub(super) name: &'a str,
-    pub(super) life: Life,
+    pub(super) generation: Generation,
     /// The view that it has.
     pub(super) view: ViewId,
     /// Where it came from.
@@ -19,22 +19,22 @@
 }
 
 impl Member {
-    /// Takes a datagram: first whose it is, then what it says of others, then its word.
-    pub(super) fn hear(
+    /// Takes a datagram: checks its sender, then applies its updates, then its message.
+    pub(super) fn receive(
         &mut self,
         now: Duration,
         frame: Frame,
         source: SocketAddr,
         actions: &mut Vec<Action>,
     ) {
-        let Frame { from, life, view, word, rumors } = frame;
+        let Frame { from, generation, view, message, updates } = frame;
         if from == self.own.name {
-            // Somebody has this name, or what was said here came back.
-            return self.name_is_used(now, life, actions);
+            // Somebody has this name, or a datagram of this member came back.
+            return self.resolve_name_conflict(now, generation, actions);
         }
-        let sender = Sender { name: &from, life, view, address: source };
+        let sender = Sender { name: &from, generation, view, address: source };
         // Guards the members against whoever speaks in their name from elsewhere.
-        if self.stated_address(sender, &rumors) != Some(source) {
+        if self.known_address(sender, &updates) != Some(source) {
             self.counters.strangers += 1;
             return;
         }
@@ -42,67 +42,80 @@
             return;
         }
         self.heard = now;
-        for rumor in rumors {
-            self.learn(now, rumor, actions);
+        for update in updates {
+            self.receive_update(now, update, actions);
         }
-        if let Some(peer) = self.peers.get_mut(&from).filter(|peer| peer.rumor.life == life) {
+        if let Some(peer) = self.peers.get_mut(&from).filter(|peer| peer.update.generation == generation) {
             peer.heard = Some(now);
         }
         if view > self.view.id.max(self.dead) {
-            self.ask_for_view(now, sender, actions);
+            self.request_view(now, sender, actions);
         }
-        self.take_word(now, sender, word, actions);
+        self.dispatch(now, sender, message, actions);
     }
 
-    /// Where a sender is to be: as known of this life or a later one, else as it says of itself, else as the view says.
-    fn stated_address(&self, sender: Sender, rumors: &[Rumor]) -> Option<SocketAddr> {
-        let known = self.peers.get(sender.name).filter(|peer| peer.rumor.life >= sender.life);
-        let introduces = rumors.iter().find(|it| it.name == sender.name && it.life == sender.life);
-        let line = self.view.members.get(sender.name).map(|line| line.address);
-        known.map(|peer| peer.rumor.address).or(introduces.map(|it| it.address)).or(line)
+    /// The address that a sender must have: as known of this generation or a later one, else by its own update, else by
+    /// the view.
+    fn known_address(&self, sender: Sender, updates: &[Update]) -> Option<SocketAddr> {
+        let known = self.peers.get(sender.name).filter(|peer| peer.update.generation >= sender.generation);
+        let introduces =
+            updates.iter().find(|it| it.name == sender.name && it.generation == sender.generation);
+        let listed = self.view.members.get(sender.name).map(|listed| listed.address);
+        known.map(|peer| peer.update.address).or(introduces.map(|it| it.address)).or(listed)
     }
 
-    /// Hands a word to the part of the member that it is for.
-    fn take_word(&mut self, now: Duration, sender: Sender, word: Word, actions: &mut Vec<Action>) {
-        match word {
-            Word::Ping(number) => self.say(sender.address, Word::Ack(number), actions),
-            Word::Ack(number) => self.answered(now, number, sender.name, actions),
-            Word::Look { number, name: _, address } => {
-                self.look_for_another(now, number, address, sender.address, actions);
+    /// Hands a message to the part of the member that it is for.
+    fn dispatch(&mut self, now: Duration, sender: Sender, message: Message, actions: &mut Vec<Action>) {
+        match message {
+            Message::Ping(number) => self.send(sender.address, Message::Ack(number), actions),
+            Message::Ack(number) => self.receive_ack(now, number, sender.name, actions),
+            Message::IndirectProbe { number, name: _, address } => {
+                self.relay_probe(now, number, address, sender.address, actions);
             }
-            Word::Found { number, there } => self.found(now, number, there, sender.name, actions),
-            Word::Join => self.answer_join(sender, actions),
-            Word::Taken(theirs) if self.phase == Phase::Joining && theirs >= self.life => {
-                self.begin_life(now, Life(theirs.0 + 1), "its name was another life's", actions);
+            Message::IndirectResult { number, there } => {
+                self.receive_indirect_result(now, number, there, sender.name, actions)
             }
-            Word::Taken(_) => {}
-            Word::Fetch(page) => self.serve_page(page, sender.address, actions),
-            Word::Page { page, pages, lines } => {
-                self.take_page(now, sender, (page, pages, lines), actions);
+            Message::Join => self.answer_join(sender, actions),
+            Message::NameTaken(theirs) if self.phase == Phase::Joining && theirs >= self.generation => {
+                self.begin_generation(
+                    now,
+                    Generation(theirs.0 + 1),
+                    "its name was another generation's",
+                    actions,
+                );
             }
-            Word::Prepare { .. } | Word::Promise { .. } | Word::Propose { .. } | Word::Accepted(_) => {
-                if self.may_vote(sender) {
-                    self.take_vote(now, sender, word, actions);
+            Message::NameTaken(_) => {}
+            Message::Fetch(page) => self.serve_page(page, sender.address, actions),
+            Message::Page { page, pages, entries } => {
+                self.receive_page(now, sender, (page, pages, entries), actions);
+            }
+            Message::Prepare { .. }
+            | Message::Promise { .. }
+            | Message::Propose { .. }
+            | Message::Accepted(_) => {
+                if self.can_vote(sender) {
+                    self.receive_vote(now, sender, message, actions);
                 }
             }
-            Word::Decided { after, change } if after == self.view.id => {
+            Message::Decided { after, change } if after == self.view.id => {
                 let next = self.view.after(&change);
-                self.enter(now, next, &format!("told by {}", sender.name), actions);
+                self.install(now, next, &format!("announced by {}", sender.name), actions);
             }
-            Word::Decided { .. } => {}
+            Message::Decided { .. } => {}
         }
     }
 
-    /// Somebody asks to be taken in: it learns that its name is held, or by the head of the answer which view there is.
+    /// Answers a joiner: its name is held, or the head of the answer shows it which view there is.
     fn answer_join(&mut self, sender: Sender, actions: &mut Vec<Action>) {
-        let line = self.view.members.get(sender.name);
-        let held = line.filter(|line| {
-            line.life > sender.life || (line.life == sender.life && line.address != sender.address)
+        let listed = self.view.members.get(sender.name);
+        let held = listed.filter(|listed| {
+            listed.generation > sender.generation
+                || (listed.generation == sender.generation && listed.address != sender.address)
         });
-        let answer = match held.map(|line| line.life) {
-            Some(life) if self.view.id != ViewId::default() => Word::Taken(life),
-            _ => Word::Ack(0),
+        let answer = match held.map(|listed| listed.generation) {
+            Some(generation) if self.view.id != ViewId::default() => Message::NameTaken(generation),
+            _ => Message::Ack(0),
         };
-        self.say(sender.address, answer, actions);
+        self.send(sender.address, answer, actions);
     }
 }
--- a/src/fleet/member/send.rs
+++ b/src/fleet/member/send.rs
@@ -1,32 +1,34 @@
-//! What goes out: a word to one address, with the updates that go along.
+//! Outgoing datagrams: a message to one address, with piggybacked updates.
 
 use super::{Action, Member, Phase};
-use crate::fleet::frame::{Frame, Word};
-use crate::fleet::life::{Rumor, Standing};
+use crate::fleet::frame::{Frame, Message};
+use crate::fleet::update::{Standing, Update};
 use std::net::SocketAddr;
 
 impl Member {
-    /// Says something, with rumors where they fit.
-    pub(super) fn say(&mut self, to: SocketAddr, word: Word, actions: &mut Vec<Action>) {
-        let rumors = match word {
-            // Who has not heard of this view yet learns whose word it is.
-            Word::Ping(_) => [vec![self.rumor()], self.gossip.next_batch()].concat(),
-            Word::Ack(_) | Word::Look { .. } | Word::Found { .. } => self.gossip.next_batch(),
-            Word::Join | Word::Taken(_) | Word::Fetch(_) => vec![self.rumor()],
+    /// Sends a message, with updates where they fit.
+    pub(super) fn send(&mut self, to: SocketAddr, message: Message, actions: &mut Vec<Action>) {
+        let updates = match message {
+            // A receiver that does not know this view yet learns who sends.
+            Message::Ping(_) => [vec![self.own_update()], self.gossip.next_batch()].concat(),
+            Message::Ack(_) | Message::IndirectProbe { .. } | Message::IndirectResult { .. } => {
+                self.gossip.next_batch()
+            }
+            Message::Join | Message::NameTaken(_) | Message::Fetch(_) => vec![self.own_update()],
             _ => Vec::new(),
         };
-        let (from, life, view) = (self.own.name.clone(), self.life, self.view.id);
-        actions.push(Action::Send(to, Frame { from, life, view, word, rumors }));
+        let (from, generation, view) = (self.own.name.clone(), self.generation, self.view.id);
+        actions.push(Action::Send(to, Frame { from, generation, view, message, updates }));
     }
 
-    /// What this member says of itself.
-    pub(super) fn rumor(&self) -> Rumor {
+    /// The update about this member.
+    pub(super) fn own_update(&self) -> Update {
         let standing = match self.phase {
             Phase::Member => Standing::Alive,
             Phase::Leaving => Standing::Leaving,
             _ => Standing::Joining,
         };
         let (name, address) = (self.own.name.clone(), self.own.address);
-        Rumor { name, address, life: self.life, claim: self.claim, standing }
+        Update { name, address, generation: self.generation, incarnation: self.incarnation, standing }
     }
 }
--- /dev/null
+++ b/src/fleet/member/tests.rs
@@ -0,0 +1,63 @@
+use super::*;
+use crate::fleet::frame::{Frame, Message};
+use crate::fleet::update::Standing;
+use std::net::SocketAddr;
+
+const PERIOD: Duration = Duration::from_millis(500);
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// A member that is the only seed, and has bootstrapped a fleet of itself.
+fn alone() -> (Member, Duration) {
+    let parameters = Parameters {
+        name: "a".into(),
+        address: address(1),
+        generation: Generation(1_000),
+        seeds: BTreeMap::from([("a".to_string(), address(1))]),
+        period: PERIOD,
+        answer: Duration::from_millis(150),
+        helpers: 3,
+        suspicion_periods: 6.0,
+        seed: 7,
+    };
+    let mut member = Member::new(parameters, Duration::ZERO);
+    let now = run(&mut member, Duration::ZERO, 20 * PERIOD);
+    assert_eq!((member.phase(), member.view().unwrap().members.len()), (Phase::Member, 1));
+    (member, now)
+}
+
+/// Wakes a member whenever it has something to do, until a time.
+fn run(member: &mut Member, from: Duration, until: Duration) -> Duration {
+    let mut now = from;
+    while let Some(at) = member.next_timer().filter(|at| *at <= until) {
+        now = now.max(at);
+        member.handle(now, Event::Wake, &mut Vec::new());
+    }
+    until
+}
+
+/// A datagram of another member, with an update about itself.
+fn datagram(name: &str, port: u16, standing: Standing) -> Event {
+    let (generation, address) = (Generation(2_000), address(port));
+    let update = Update { name: name.into(), address, generation, incarnation: 0, standing };
+    let (view, message) = (ViewId::default(), Message::Ack(0));
+    let frame = Frame { from: name.into(), generation, view, message, updates: vec![update] };
+    Event::Frame(Box::new(frame), address)
+}
+
+#[test]
+fn who_is_not_in_the_view_is_forgotten_after_a_silence_and_members_are_not() {
+    let (mut member, now) = alone();
+    member.handle(now, datagram("b", 2, Standing::Joining), &mut Vec::new());
+    let now = run(&mut member, now, now + 4 * PERIOD);
+    assert_eq!(member.view().unwrap().members.len(), 2, "b was taken in");
+    // It announces that it leaves before it was ever a member: it is not taken in.
+    member.handle(now, datagram("c", 3, Standing::Leaving), &mut Vec::new());
+    let now = run(&mut member, now, now + 8 * PERIOD);
+    assert!(member.peers().contains_key("c"), "it may still be heard of");
+    run(&mut member, now, now + 8 * PERIOD);
+    assert!(!member.peers().contains_key("c"));
+    assert!(member.peers().contains_key("b"), "its silence alone takes nobody out");
+}
--- a/src/fleet/member/updates.rs
+++ b/src/fleet/member/updates.rs
@@ -1,98 +1,106 @@
-//! Updates that others disseminate: what is said of another member, and what is said of this one.
+//! Incoming updates: about other members, and about this one.
 
-use super::{Action, Member, Peer, Phase, MOST_MEMBERS};
-use crate::fleet::frame::Word;
-use crate::fleet::life::{Rumor, Standing};
+use super::{Action, Member, Peer, Phase, MAX_MEMBERS};
+use crate::fleet::frame::Message;
+use crate::fleet::update::{Standing, Update};
 use std::time::Duration;
 
 impl Member {
-    /// Something is said of a member.
-    pub(super) fn learn(&mut self, now: Duration, rumor: Rumor, actions: &mut Vec<Action>) {
-        if rumor.name == self.own.name {
-            return self.hear_of_itself(now, &rumor, actions);
+    /// Takes an update.
+    pub(super) fn receive_update(&mut self, now: Duration, update: Update, actions: &mut Vec<Action>) {
+        if update.name == self.own.name {
+            return self.receive_own_update(now, &update, actions);
         }
-        let in_view = self.view.members.get(&rumor.name).is_some_and(|line| line.life == rumor.life);
-        let doubted = matches!(rumor.standing, Standing::Suspect { .. });
-        // What is said of a life that is over, or is doubted before it came, changes nothing.
-        if self.is_over(&rumor) || (doubted && !in_view) {
+        let in_view =
+            self.view.members.get(&update.name).is_some_and(|listed| listed.generation == update.generation);
+        let suspected = matches!(update.standing, Standing::Suspect { .. });
+        // An update of a generation that has ended, or a suspicion of one that has not joined, changes nothing.
+        if self.has_ended(&update) || (suspected && !in_view) {
             return;
         }
-        let Some(peer) = self.peers.get_mut(&rumor.name) else {
-            return self.meet(now, rumor, actions);
+        let Some(peer) = self.peers.get_mut(&update.name) else {
+            return self.add_peer(now, update, actions);
         };
-        if !in_view && rumor.life >= peer.rumor.life {
+        if !in_view && update.generation >= peer.update.generation {
             // It still asks to be taken in.
             peer.since = now;
         }
-        if rumor.replaces(&peer.rumor) {
-            self.replace(now, rumor, actions);
-        } else if doubted && rumor.life == peer.rumor.life && rumor.claim == peer.rumor.claim {
-            self.doubt(now, &rumor, actions);
+        if update.replaces(&peer.update) {
+            self.replace(now, update, actions);
+        } else if suspected
+            && update.generation == peer.update.generation
+            && update.incarnation == peer.update.incarnation
+        {
+            self.suspect(now, &update, actions);
         }
     }
 
-    /// Whether something is said of a life that a view has ended, or that one of its name came after.
-    fn is_over(&self, rumor: &Rumor) -> bool {
-        self.view.members.get(&rumor.name).is_some_and(|line| line.life > rumor.life)
-            || self.view.over.get(&rumor.name).is_some_and(|life| *life >= rumor.life)
+    /// Whether an update is of a generation that a view has ended, or that a later one of its name replaced.
+    fn has_ended(&self, update: &Update) -> bool {
+        self.view.members.get(&update.name).is_some_and(|listed| listed.generation > update.generation)
+            || self.view.ended.get(&update.name).is_some_and(|generation| *generation >= update.generation)
     }
 
     /// A member is heard of for the first time.
-    fn meet(&mut self, now: Duration, rumor: Rumor, actions: &mut Vec<Action>) {
-        if self.peers.len() >= MOST_MEMBERS {
+    fn add_peer(&mut self, now: Duration, update: Update, actions: &mut Vec<Action>) {
+        if self.peers.len() >= MAX_MEMBERS {
             return;
         }
-        self.peers.insert(rumor.name.clone(), Peer::new(rumor.clone(), now));
-        self.unsettled = true;
-        self.enqueue(rumor.clone());
-        if matches!(rumor.standing, Standing::Suspect { .. }) {
-            self.doubt(now, &rumor, actions);
+        self.peers.insert(update.name.clone(), Peer::new(update.clone(), now));
+        self.view_may_change = true;
+        self.enqueue(update.clone());
+        if matches!(update.standing, Standing::Suspect { .. }) {
+            self.suspect(now, &update, actions);
         }
     }
 
-    /// What is said of a member takes the place of what was known of it.
-    fn replace(&mut self, now: Duration, rumor: Rumor, actions: &mut Vec<Action>) {
-        let Some(peer) = self.peers.get_mut(&rumor.name) else { return };
-        let another = rumor.life != peer.rumor.life;
-        // Guards a member against whoever says that it moved: one life has one address.
-        let address = if another { rumor.address } else { peer.rumor.address };
-        let rumor = Rumor { address, ..rumor };
+    /// An update takes the place of what was known of its member.
+    fn replace(&mut self, now: Duration, update: Update, actions: &mut Vec<Action>) {
+        let Some(peer) = self.peers.get_mut(&update.name) else { return };
+        let another = update.generation != peer.update.generation;
+        // Guards a member against forged moves: one generation has one address.
+        let address = if another { update.address } else { peer.update.address };
+        let update = Update { address, ..update };
         if another {
             (peer.heard, peer.answered, peer.found) = (None, None, None);
         }
-        peer.rumor = rumor.clone();
-        if matches!(rumor.standing, Standing::Suspect { .. }) {
-            return self.doubt(now, &rumor, actions);
+        peer.update = update.clone();
+        if matches!(update.standing, Standing::Suspect { .. }) {
+            return self.suspect(now, &update, actions);
         }
         peer.lost = false;
-        if peer.doubt.take().is_some() && !another {
-            let evidence = format!("claim {}", rumor.claim);
-            actions.push(Action::Note { name: rumor.name.clone(), what: "refuted", evidence });
+        if peer.suspicion.take().is_some() && !another {
+            let evidence = format!("incarnation {}", update.incarnation);
+            actions.push(Action::Note { name: update.name.clone(), what: "refuted", evidence });
         }
-        (self.unsettled, self.lives_changed) = (true, self.lives_changed || another);
-        self.enqueue(rumor);
+        (self.view_may_change, self.generations_changed) = (true, self.generations_changed || another);
+        self.enqueue(update);
     }
 
-    /// Something is said of this member: a suspicion is refuted, and a later life of its name is another process.
-    fn hear_of_itself(&mut self, now: Duration, rumor: &Rumor, actions: &mut Vec<Action>) {
-        if rumor.life > self.life {
-            return self.name_is_used(now, rumor.life, actions);
+    /// An update about this member: a suspicion is refuted, and a later generation of its name is another process.
+    fn receive_own_update(&mut self, now: Duration, update: &Update, actions: &mut Vec<Action>) {
+        if update.generation > self.generation {
+            return self.resolve_name_conflict(now, update.generation, actions);
         }
-        let doubted = matches!(rumor.standing, Standing::Suspect { .. });
-        if rumor.life == self.life && doubted && rumor.claim >= self.claim && self.phase == Phase::Member {
-            self.refute(rumor.claim, actions);
+        let suspected = matches!(update.standing, Standing::Suspect { .. });
+        if update.generation == self.generation
+            && suspected
+            && update.incarnation >= self.incarnation
+            && self.phase == Phase::Member
+        {
+            self.refute(update.incarnation, actions);
         }
     }
 
-    /// Contradicts a suspicion of this claim by a higher one.
-    fn refute(&mut self, claim: u32, actions: &mut Vec<Action>) {
-        self.claim = claim + 1;
+    /// Refutes a suspicion of this incarnation by a higher one.
+    fn refute(&mut self, incarnation: u32, actions: &mut Vec<Action>) {
+        self.incarnation = incarnation + 1;
         self.counters.refuted += 1;
-        let rumor = self.rumor();
-        self.enqueue(rumor);
-        // A few hear it at once: whoever was late probes seldom, and its word must not wait for that.
-        for to in self.some_of_view(self.own.lookers) {
-            self.say(to, Word::Ping(0), actions);
+        let update = self.own_update();
+        self.enqueue(update);
+        // A few get it at once: a member that was late probes seldom, and the refutation must not wait for that.
+        for to in self.random_members(self.own.helpers) {
+            self.send(to, Message::Ping(0), actions);
         }
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,18 +1,20 @@
 //! Membership among initiators: who is there, who is gone, and how sure we are. Members probe each other, directly and
-//! through others, doubt themselves before they doubt another, and agree by majority on numbered views.
+//! through helpers, suspect themselves before they suspect another, and agree by majority on numbered views: SWIM with
+//! the extensions of Lifeguard, and one decision of Paxos a view.
 //!
-//! From below: [`life`] is what is said of a member, [`frame`] what members say, [`health`] how far a member trusts
-//! itself, [`suspicion`] how long a doubt lasts, [`view`] how a view is decided, [`member`] all of one member; none of
-//! these does I/O or reads a clock. [`settings`] is the file, [`speaker`] the socket, [`report`] what operators see.
+//! From below: [`update`] is what is disseminated about a member, [`view`] how a view is decided, [`frame`] the
+//! messages, [`health`] how far a member relies on its own observations, [`suspicion`] how long a suspicion lasts,
+//! [`member`] all of one member; none of these does I/O or reads a clock. [`settings`] is the file, [`traffic`] counts
+//! datagrams, [`report`] is what operators see, [`speaker`] the socket. Each imports only what stands before it.
 //! docs/fleet.md says why it is built so.
 
 pub mod frame;
 pub mod health;
-pub mod life;
 pub mod member;
 pub mod report;
 pub mod settings;
 pub mod speaker;
 pub mod suspicion;
 pub mod traffic;
+pub mod update;
 pub mod view;
--- a/src/fleet/report.rs
+++ b/src/fleet/report.rs
@@ -1,19 +1,19 @@
 //! What operators see of the fleet: `INFO FLEET` as JSON, and a few lines of `INFO`.
 
-use super::life::Standing;
 use super::member::{Member, Peer};
 use super::traffic::Traffic;
+use super::update::Standing;
 use serde_json::json;
 use std::time::Duration;
 
 /// How another member stands, by all that is known here.
 fn state(member: &Member, name: &str, peer: &Peer) -> &'static str {
-    let line = member.view().and_then(|view| view.members.get(name));
+    let listed = member.view().and_then(|view| view.members.get(name));
     match () {
-        () if line.is_none_or(|line| line.life != peer.rumor.life) => "joining",
-        () if peer.rumor.standing == Standing::Leaving => "leaving",
+        () if listed.is_none_or(|listed| listed.generation != peer.update.generation) => "joining",
+        () if peer.update.standing == Standing::Leaving => "leaving",
         () if peer.lost => "lost",
-        () if peer.doubt.is_some() => "suspect",
+        () if peer.suspicion.is_some() => "suspect",
         () => "alive",
     }
 }
@@ -22,13 +22,14 @@
 pub fn of(member: &Member, traffic: Traffic, now: Duration) -> (String, String) {
     let age = |at: Option<Duration>| at.map(|at| now.saturating_sub(at).as_millis() as u64);
     let peers = member.peers().iter().map(|(name, peer)| {
-        let witnesses: Vec<&String> = peer.doubt.iter().flat_map(|doubt| &doubt.witnesses).collect();
+        let witnesses: Vec<&String> =
+            peer.suspicion.iter().flat_map(|suspicion| &suspicion.witnesses).collect();
         let found = peer.found.as_ref();
         json!({
             "name": name,
-            "address": peer.rumor.address,
-            "life": peer.rumor.life.0,
-            "claim": peer.rumor.claim,
+            "address": peer.update.address,
+            "life": peer.update.generation.0,
+            "claim": peer.update.incarnation,
             "state": state(member, name, peer),
             "heard_ms": age(peer.heard),
             "reached_ms": age(peer.answered),
@@ -39,22 +40,22 @@
     });
     let view = member.view().map(|view| {
         let members: Vec<_> =
-            view.members.values().map(|line| json!({ "name": line.name, "life": line.life.0 })).collect();
+            view.members.values().map(|listed| json!({ "name": listed.name, "life": listed.generation.0 })).collect();
         let id = view.id;
-        json!({ "founding": id.founded, "founded_ms": id.founded_ms(), "number": id.number, "members": members })
+        json!({ "founding": id.bootstrap, "founded_ms": id.bootstrapped_ms(), "number": id.number, "members": members })
     });
     let (counters, quorate) = (member.counters, member.is_quorate(now));
     let (phase, size) = (member.phase().name(), member.view().map_or(0, |view| view.members.len()));
     let json = json!({
         "phase": phase,
-        "life": member.life().0,
+        "life": member.generation().0,
         "quorate": quorate,
-        "lacks": member.lacks(),
+        "lacks": member.health_score(),
         "view": view,
         "peers": peers.collect::<Vec<_>>(),
         "counters": {
-            "probes": counters.probes, "looks": counters.looks, "doubts": counters.doubts,
-            "refuted": counters.refuted, "views": counters.views, "tries": counters.tries,
+            "probes": counters.probes, "looks": counters.indirect_probes, "doubts": counters.suspicions,
+            "refuted": counters.refuted, "views": counters.views, "tries": counters.proposals,
             "strangers": counters.strangers, "datagrams_in": traffic.datagrams_in,
             "datagrams_out": traffic.datagrams_out, "bytes_out": traffic.bytes_out,
             "unreadable": traffic.unreadable, "not_sent": traffic.not_sent,
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -1,21 +1,21 @@
-//! `deploy/fleet.toml`: an initiator's part in a fleet. Checked whole; each error is one line that names the key and what
-//! is allowed.
+//! `deploy/fleet.toml`: an initiator's part in a fleet. Checked whole; each error is one line that names the key and
+//! what is allowed.
 
-use super::life::{Life, LONGEST_NAME};
 use super::member::Parameters;
+use super::update::{Generation, MAX_NAME_BYTES};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Members that a fleet may be founded by.
-const MOST_SEEDS: usize = 16;
+/// Most seeds that may be given.
+const MAX_SEEDS: usize = 16;
 /// Periods may be so long, in milliseconds.
 const PERIODS: std::ops::RangeInclusive<u64> = 20..=60_000;
-/// An answer may take such a part of a period: who is asked to look answers within the rest.
+/// An answer may take such a part of a period: helpers answer within the rest.
 const ANSWER_PART: u64 = 3;
 
-/// Everything that an initiator is told of its fleet.
+/// Everything that the file says, under its names.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The fleet's name.
@@ -26,15 +26,15 @@
     pub address: SocketAddr,
     /// Where the others reach it.
     pub advertise: SocketAddr,
-    /// Members by which a fleet may be founded.
+    /// Members by which a fleet may be bootstrapped.
     pub seeds: BTreeMap<String, SocketAddr>,
     /// One member is probed a period.
     pub period: Duration,
-    /// How long an answer may take before others are asked to look.
+    /// How long an answer may take before helpers are asked for an indirect probe.
     pub answer: Duration,
-    /// How many others.
+    /// How many helpers.
     pub lookers: usize,
-    /// How long a doubt lasts at least, in periods, in a fleet of ten.
+    /// How long a suspicion lasts at least, in periods, in a fleet of ten.
     pub doubt_periods: f64,
 }
 
@@ -86,8 +86,8 @@
     pub fn parse(text: &str) -> Result<Option<Settings>, String> {
         let file: File = toml::from_str(text).map_err(|error| error.message().replace('\n', " "))?;
         let named = |key: &str, name: &str| match name.len() {
-            1..=LONGEST_NAME => Ok(()),
-            _ => Err(format!("{key}: 1 to {LONGEST_NAME} bytes are allowed")),
+            1..=MAX_NAME_BYTES => Ok(()),
+            _ => Err(format!("{key}: 1 to {MAX_NAME_BYTES} bytes are allowed")),
         };
         named("fleet", &file.fleet)?;
         named("name", &file.name)?;
@@ -104,8 +104,8 @@
         if !(2.0..=100.0).contains(&file.doubt_periods) {
             return Err("doubt_periods: 2 to 100 are allowed".into());
         }
-        if file.seed.is_empty() || file.seed.len() > MOST_SEEDS {
-            return Err(format!("seed: 1 to {MOST_SEEDS} are allowed, the same on all members"));
+        if file.seed.is_empty() || file.seed.len() > MAX_SEEDS {
+            return Err(format!("seed: 1 to {MAX_SEEDS} are allowed, the same on all members"));
         }
         let mut seeds = BTreeMap::new();
         for Seed { name, address } in file.seed {
@@ -134,17 +134,17 @@
         }))
     }
 
-    /// For a member whose life begins at this Unix time.
+    /// For a member whose generation begins at this Unix time.
     pub fn parameters(&self, unix: Duration, seed: u64) -> Parameters {
         Parameters {
             name: self.name.clone(),
             address: self.advertise,
-            life: Life(unix.as_millis() as u64),
+            generation: Generation(unix.as_millis() as u64),
             seeds: self.seeds.clone(),
             period: self.period,
             answer: self.answer,
-            lookers: self.lookers,
-            doubt_periods: self.doubt_periods,
+            helpers: self.lookers,
+            suspicion_periods: self.doubt_periods,
             seed,
         }
     }
--- a/src/fleet/speaker.rs
+++ b/src/fleet/speaker.rs
@@ -1,6 +1,6 @@
-//! The socket of a member: carries its frames over UDP, and tells its own lateness to it before anything that came.
+//! The socket of a member: carries its frames over UDP, and hands it its own lateness before anything that came.
 
-use super::frame::{tag, Frame, MOST_BYTES};
+use super::frame::{tag, Frame, MAX_BYTES};
 use super::member::{Action, Event, Identity, Member};
 use super::report;
 use super::settings::Settings;
@@ -13,10 +13,11 @@
 /// The name of its report.
 pub const REPORT: &str = "fleet";
 /// Datagrams read in one turn of the loop. Guards requests against a flood; the kernel drops what is too much.
-const MOST_READ: usize = 64;
-/// A report is made so often, and more seldom where it has many lines.
-const REPORTED: Duration = Duration::from_millis(100);
-const FEW: u32 = 64;
+const MAX_READ: usize = 64;
+/// Least time between two reports, for each [`PEERS_A_REPORT`] peers.
+const REPORT_PAUSE: Duration = Duration::from_millis(100);
+/// Peers that a report of [`REPORT_PAUSE`] may have: larger ones are made more seldom.
+const PEERS_A_REPORT: u32 = 64;
 
 /// A member with its socket.
 pub struct Speaker {
@@ -85,8 +86,8 @@
             self.member.handle(at, Event::Late(late), &mut actions);
         }
         self.read(at, &mut actions);
-        // What has come is heard before what is due: an answer may lie there that a doubt waits for. A flood holds that up
-        // for as long as an answer may take, and no longer.
+        // What has come is heard before what is due: an answer may lie there that a suspicion waits for. A flood holds
+        // that up for as long as an answer may take, and no longer.
         let wait = if self.readable { self.patience } else { Duration::ZERO };
         if self.member.next_timer().is_some_and(|due| due + wait <= at) {
             self.member.handle(at, Event::Wake, &mut actions);
@@ -94,12 +95,13 @@
         self.carry_out(actions);
     }
 
-    /// Falls silent for good, and says what the next process of this member goes on from: one voice at any time.
+    /// Sends nothing from now on, and gives what the next process of this member goes on from: one of them sends at a
+    /// time.
     pub fn hand_over(self) -> Identity {
         self.member.identity()
     }
 
-    /// Tells the others that it goes.
+    /// Announces to the others that this member leaves.
     pub fn leave(&mut self, now: Instant) {
         let mut actions = Vec::new();
         self.member.handle(now.saturating_duration_since(self.origin), Event::Leave, &mut actions);
@@ -107,8 +109,8 @@
     }
 
     fn read(&mut self, at: Duration, actions: &mut Vec<Action>) {
-        let mut bytes = [0; MOST_BYTES + 1];
-        for _ in 0..MOST_READ {
+        let mut bytes = [0; MAX_BYTES + 1];
+        for _ in 0..MAX_READ {
             match self.socket.recv_from(&mut bytes) {
                 Ok((length, from)) => {
                     self.traffic.datagrams_in += 1;
@@ -124,7 +126,7 @@
                     self.readable = false;
                     return;
                 }
-                // A peer that is not there is told by the system as an error of this socket.
+                // A peer that is not there is reported by the system as an error of this socket.
                 Err(error) => tracing::debug!("fleet: {error}"),
             }
         }
@@ -150,7 +152,7 @@
 
     /// Its report, as lines and as JSON, where one is due.
     pub fn info(&mut self, now: Instant) -> Option<(String, String)> {
-        let pause = REPORTED * (1 + self.member.peers().len() as u32 / FEW);
+        let pause = REPORT_PAUSE * (1 + self.member.peers().len() as u32 / PEERS_A_REPORT);
         if self.reported.is_some_and(|at| now - at < pause) {
             return None;
         }
--- a/src/fleet/suspicion.rs
+++ b/src/fleet/suspicion.rs
@@ -1,20 +1,20 @@
-//! How long a doubt lasts before the one who has it holds the member for lost. It grows with the size of the fleet, in
-//! which word takes longer, and shrinks with witnesses of their own.
+//! How long a suspicion lasts before the one who has it holds the member for lost. It grows with the size of the fleet,
+//! in which updates take longer, and shrinks with witnesses of their own.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Witnesses beyond the first that shorten it to the least.
-const ENOUGH: usize = 3;
+const ENOUGH_WITNESSES: usize = 3;
 
-/// The least and the longest that a doubt lasts in a fleet of so many, where periods are so long.
-pub fn bounds(period: Duration, doubt_periods: f64, members: usize) -> (Duration, Duration) {
+/// The least and the longest that a suspicion lasts in a fleet of so many, where periods are so long.
+pub fn bounds(period: Duration, suspicion_periods: f64, members: usize) -> (Duration, Duration) {
     let size = (members.max(2) as f64).log10().max(1.0);
-    let least = period.mul_f64(doubt_periods * size);
+    let least = period.mul_f64(suspicion_periods * size);
     (least, least * 3)
 }
 
-/// A doubt of one member.
+/// A suspicion of one member.
 #[derive(Clone, Debug)]
 pub struct Suspicion {
     /// Since when.
@@ -29,11 +29,11 @@
         Suspicion { since: now, witnesses: BTreeSet::from([witness.to_string()]) }
     }
 
-    /// When it is over, in a fleet of so many: the first witness counts least, and each further one that is not asked by
-    /// another brings it nearer to the least. Where there cannot be more, it is the least at once.
-    pub fn ends(&self, period: Duration, doubt_periods: f64, members: usize) -> Duration {
-        let (least, longest) = bounds(period, doubt_periods, members);
-        let wanted = ENOUGH.min(members.saturating_sub(3));
+    /// When it is over, in a fleet of so many: the first witness counts least, and each further one that was not asked
+    /// by another brings it nearer to the least. Where there cannot be more, it is the least at once.
+    pub fn expires(&self, period: Duration, suspicion_periods: f64, members: usize) -> Duration {
+        let (least, longest) = bounds(period, suspicion_periods, members);
+        let wanted = ENOUGH_WITNESSES.min(members.saturating_sub(3));
         let more = (self.witnesses.len() - 1).min(wanted);
         let part = if wanted == 0 { 1.0 } else { ((more + 1) as f64).ln() / ((wanted + 1) as f64).ln() };
         self.since + longest - (longest - least).mul_f64(part)
--- a/src/fleet/life.rs
+++ b/src/fleet/update.rs
@@ -1,17 +1,18 @@
-//! What is said of a member: its name, which of its lives, where it is, and how it stands. Later word replaces earlier.
+//! What is disseminated about a member: its name, its generation, where it is, and its state. Later updates replace
+//! earlier ones.
 
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// A name is not longer.
-pub const LONGEST_NAME: usize = 32;
+pub const MAX_NAME_BYTES: usize = 32;
 
-/// One run of a process under a name. A process that starts again is another life, and no life ends twice: whoever was
-/// taken out of a view and is still there comes again as a new one.
+/// One run of a process under a name. A process that starts again is another generation, and no generation ends twice:
+/// whoever was taken out of a view and still runs joins as a new one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
-pub struct Life(pub u64);
+pub struct Generation(pub u64);
 
-/// How a member stands, as somebody says.
+/// The state of a member, as somebody states it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
     /// It asks to be taken into the view.
@@ -20,51 +21,52 @@
     Alive,
     /// It gave no answer to this witness.
     Suspect {
-        /// Whose doubt it is.
+        /// Whose suspicion it is.
         by: String,
     },
-    /// It goes, by its own word.
+    /// It leaves, as it announced itself.
     Leaving,
 }
 
-/// What is said of a member.
+/// One update about a member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Rumor {
+pub struct Update {
     /// Its name.
     pub name: String,
-    /// Where it hears the others.
+    /// Where it receives datagrams.
     pub address: SocketAddr,
-    /// Which of its lives.
-    pub life: Life,
-    /// Grows each time that it contradicts a doubt.
-    pub claim: u32,
-    /// How it stands.
+    /// Its generation.
+    pub generation: Generation,
+    /// Grows each time that it contradicts a suspicion.
+    pub incarnation: u32,
+    /// Its state.
     pub standing: Standing,
 }
 
-impl Rumor {
-    /// Whether this is news to somebody who knows the other. Guards against old word that comes late or twice: of one
-    /// life a doubt beats the claim it was raised against, a higher claim beats the doubt, and who leaves has left.
-    pub fn replaces(&self, known: &Rumor) -> bool {
+impl Update {
+    /// Whether this is news to somebody who knows the other. Guards against old updates that come late or twice: within
+    /// a generation a suspicion beats the incarnation it was raised against, a higher incarnation beats the suspicion,
+    /// and leaving is final.
+    pub fn replaces(&self, known: &Update) -> bool {
         let rank = |standing: &Standing| match standing {
             Standing::Joining => 0,
             Standing::Alive => 1,
             Standing::Suspect { .. } => 2,
             Standing::Leaving => 3,
         };
-        let leaves = |rumor: &Rumor| rumor.standing == Standing::Leaving;
-        if self.life != known.life {
-            return self.life > known.life;
+        let leaves = |update: &Update| update.standing == Standing::Leaving;
+        if self.generation != known.generation {
+            return self.generation > known.generation;
         }
         match (leaves(self), leaves(known)) {
             (new, old) if new != old => new,
-            _ => (self.claim, rank(&self.standing)) > (known.claim, rank(&known.standing)),
+            _ => (self.incarnation, rank(&self.standing)) > (known.incarnation, rank(&known.standing)),
         }
     }
 
     /// Whether it can be one: bounds of what comes from outside.
-    pub fn is_sound(&self) -> bool {
-        let named = |name: &str| !name.is_empty() && name.len() <= LONGEST_NAME;
+    pub fn is_valid(&self) -> bool {
+        let named = |name: &str| !name.is_empty() && name.len() <= MAX_NAME_BYTES;
         let witness = match &self.standing {
             Standing::Suspect { by } => named(by),
             _ => true,
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -1,70 +1,70 @@
-//! How a view is decided. A view is numbered, and the next one is chosen by most of its members: one decision of Paxos a
-//! number, with the members of the view before as acceptors. What an acceptor has promised it keeps in memory alone,
-//! which is enough: a process that starts again is another life, and is in no view before one has taken it in.
+//! How a view is decided. A view is numbered, and the next one is chosen by most of its members: one decision of Paxos
+//! a number, with the members of the view before as acceptors. What an acceptor has promised it keeps in memory alone,
+//! which is enough: a process that starts again is another generation, and is in no view before one has taken it in.
 
-use super::life::Life;
+use super::update::Generation;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Members that come and go from one view to the next: what one datagram holds.
-pub const MOST_CHANGES: usize = 12;
+pub const MAX_CHANGES: usize = 12;
 
-/// Names a view. What is built on views says which one it acted in; a later founding goes before an earlier.
+/// Identifies a view. What is built on views names the one it acted in; a later bootstrap goes before an earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct ViewId {
-    /// When and by whom the fleet was founded; 0: not yet.
-    pub founded: u64,
+    /// When and by whom the fleet was bootstrapped; 0: not yet.
+    pub bootstrap: u64,
     /// Counts the views from there.
     pub number: u64,
 }
 
-/// Bits of a founding that tell its founder; those above are the Unix time in milliseconds.
-pub const FOUNDER_BITS: u32 = 10;
+/// Low bits of a bootstrap, which identify its bootstrapper; those above are the Unix time in milliseconds.
+pub const BOOTSTRAPPER_BITS: u32 = 10;
 
 impl ViewId {
-    /// When the fleet was founded, Unix time in milliseconds.
-    pub fn founded_ms(self) -> u64 {
-        self.founded >> FOUNDER_BITS
+    /// When the fleet was bootstrapped, Unix time in milliseconds.
+    pub fn bootstrapped_ms(self) -> u64 {
+        self.bootstrap >> BOOTSTRAPPER_BITS
     }
 }
 
 /// A member of a view, with where it is.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Line {
+pub struct ViewMember {
     /// Its name.
     pub name: String,
-    /// Its life.
-    pub life: Life,
-    /// Where it hears the others.
+    /// Its generation.
+    pub generation: Generation,
+    /// Where it receives datagrams.
     pub address: SocketAddr,
 }
 
-/// A line of a view as it is fetched: a member, or the last life of a name that is in it no more.
+/// An entry of a view as it is fetched: a member, or the last generation of a name that is in it no more.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Entry {
+pub enum ViewEntry {
     /// It is in the view.
-    There(Line),
+    Member(ViewMember),
     /// It was in an earlier one.
-    Over(String, Life),
+    Ended(String, Generation),
 }
 
-/// A try to decide, higher than all before; the name tells apart who tries at once.
+/// A proposal number of Paxos, higher than all before; the name distinguishes proposers of one round.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Ballot {
-    /// Which try.
+    /// Grows with each proposal.
     pub round: u32,
-    /// Whose.
+    /// The proposer.
     pub by: String,
 }
 
 /// What a view changes against the one before.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Change {
-    /// Where it is the first of a fleet: when that was founded.
-    pub founded: Option<u64>,
-    /// Members that come, or come again in another life.
-    pub joins: Vec<Line>,
+    /// Where it is the first of a fleet: when that was bootstrapped.
+    pub bootstrap: Option<u64>,
+    /// Members that come, or come again in another generation.
+    pub joins: Vec<ViewMember>,
     /// Members that go.
     pub leaves: Vec<String>,
 }
@@ -79,65 +79,67 @@
 /// A numbered set of members.
 #[derive(Clone, Debug, PartialEq, Eq, Default)]
 pub struct View {
-    /// Its name.
+    /// Its identity.
     pub id: ViewId,
     /// Its members by name.
-    pub members: BTreeMap<String, Line>,
-    /// The last life of each name that was in an earlier view and is not in this one as that. Guards against word of it
-    /// that comes late: what is over does not come again.
-    pub over: BTreeMap<String, Life>,
+    pub members: BTreeMap<String, ViewMember>,
+    /// The last generation of each name that was in an earlier view and is not in this one as that. Guards against late
+    /// updates: a generation that has ended does not come again.
+    pub ended: BTreeMap<String, Generation>,
 }
 
-/// Names whose last life is kept. The oldest are forgotten first: word is not late by that much.
-const MOST_OVER: usize = 4096;
+/// Names whose last generation is kept. The oldest are forgotten first: no update is late by that much.
+const MAX_ENDED: usize = 4096;
 
 impl View {
-    /// How many are most of it.
-    pub fn most(&self) -> usize {
+    /// How many members are a majority.
+    pub fn majority(&self) -> usize {
         self.members.len() / 2 + 1
     }
 
     /// The one after it.
     pub fn after(&self, change: &Change) -> View {
-        let (mut members, mut over) = (self.members.clone(), self.over.clone());
-        if change.founded.is_some() {
-            // Whoever may found votes for the first view, and is in it only if it was heard.
+        let (mut members, mut ended) = (self.members.clone(), self.ended.clone());
+        if change.bootstrap.is_some() {
+            // Seeds vote for the first view, and are in it only if they were heard.
             members.clear();
         }
         for name in &change.leaves {
-            over.extend(members.remove(name).map(|line| (line.name, line.life)));
+            ended.extend(members.remove(name).map(|listed| (listed.name, listed.generation)));
         }
-        for line in change.joins.iter().filter(|line| self.takes(&line.name, line.life)) {
-            let before = members.insert(line.name.clone(), line.clone());
-            over.extend(before.map(|line| (line.name, line.life)));
+        for listed in change.joins.iter().filter(|listed| self.takes(&listed.name, listed.generation)) {
+            let before = members.insert(listed.name.clone(), listed.clone());
+            ended.extend(before.map(|listed| (listed.name, listed.generation)));
         }
-        while over.len() > MOST_OVER {
-            let oldest = over.iter().min_by_key(|(_, life)| **life).map(|(name, _)| name.clone());
-            oldest.and_then(|name| over.remove(&name));
+        while ended.len() > MAX_ENDED {
+            let oldest =
+                ended.iter().min_by_key(|(_, generation)| **generation).map(|(name, _)| name.clone());
+            oldest.and_then(|name| ended.remove(&name));
         }
-        let id = ViewId { founded: change.founded.unwrap_or(self.id.founded), number: self.id.number + 1 };
-        View { id, members, over }
+        let id =
+            ViewId { bootstrap: change.bootstrap.unwrap_or(self.id.bootstrap), number: self.id.number + 1 };
+        View { id, members, ended }
     }
 
-    /// Whether a life may come into the next view: none before it was later.
-    pub fn takes(&self, name: &str, life: Life) -> bool {
-        let later = |known: Option<Life>| known.is_none_or(|known| known < life);
-        later(self.over.get(name).copied()) && later(self.members.get(name).map(|line| line.life))
+    /// Whether a generation may come into the next view: none before it was later.
+    pub fn takes(&self, name: &str, generation: Generation) -> bool {
+        let later = |known: Option<Generation>| known.is_none_or(|known| known < generation);
+        later(self.ended.get(name).copied()) && later(self.members.get(name).map(|listed| listed.generation))
     }
 
     /// All of it, as it is fetched.
-    pub fn entries(&self) -> impl Iterator<Item = Entry> + '_ {
-        let there = self.members.values().cloned().map(Entry::There);
-        there.chain(self.over.iter().map(|(name, life)| Entry::Over(name.clone(), *life)))
+    pub fn entries(&self) -> impl Iterator<Item = ViewEntry> + '_ {
+        let there = self.members.values().cloned().map(ViewEntry::Member);
+        there.chain(self.ended.iter().map(|(name, generation)| ViewEntry::Ended(name.clone(), *generation)))
     }
 
     /// One that was fetched.
-    pub fn of(id: ViewId, entries: impl IntoIterator<Item = Entry>) -> View {
+    pub fn of(id: ViewId, entries: impl IntoIterator<Item = ViewEntry>) -> View {
         let mut view = View { id, ..View::default() };
         for entry in entries {
             match entry {
-                Entry::There(line) => drop(view.members.insert(line.name.clone(), line)),
-                Entry::Over(name, life) => view.over.extend([(name, life)]),
+                ViewEntry::Member(listed) => drop(view.members.insert(listed.name.clone(), listed)),
+                ViewEntry::Ended(name, generation) => view.ended.extend([(name, generation)]),
             }
         }
         view
@@ -181,10 +183,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Default)]
 struct Vote {
     accepted: Option<(Ballot, Change)>,
-    objects: BTreeSet<String>,
+    objections: BTreeSet<String>,
 }
 
-/// One try of a proposer.
+/// One ballot of a proposer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Proposal {
     /// Its ballot.
@@ -215,13 +217,13 @@
         view: &View,
         from: &str,
         accepted: Option<(Ballot, Change)>,
-        objects: impl IntoIterator<Item = String>,
+        objections: impl IntoIterator<Item = String>,
     ) -> Option<Change> {
         if self.proposed.is_some() || !view.members.contains_key(from) {
             return None;
         }
-        self.votes.insert(from.to_string(), Vote { accepted, objects: objects.into_iter().collect() });
-        if self.votes.len() < view.most() {
+        self.votes.insert(from.to_string(), Vote { accepted, objections: objections.into_iter().collect() });
+        if self.votes.len() < view.majority() {
             return None;
         }
         let accepted = self.votes.values().filter_map(|vote| vote.accepted.as_ref());
@@ -229,7 +231,8 @@
             Some((_, change)) => change.clone(),
             None => {
                 let agreed = |name: &String| {
-                    self.votes.values().filter(|vote| !vote.objects.contains(name)).count() >= view.most()
+                    self.votes.values().filter(|vote| !vote.objections.contains(name)).count()
+                        >= view.majority()
                 };
                 let leaves = self.wanted.leaves.iter().filter(|name| agreed(name)).cloned().collect();
                 Change { leaves, ..self.wanted.clone() }
@@ -246,7 +249,7 @@
     pub fn accepted(&mut self, view: &View, from: &str) -> Option<Change> {
         let change = self.proposed.as_ref().filter(|_| view.members.contains_key(from))?;
         self.accepted.insert(from.to_string());
-        (self.accepted.len() >= view.most()).then(|| change.clone())
+        (self.accepted.len() >= view.majority()).then(|| change.clone())
     }
 }
 
--- a/src/fleet/view/tests.rs
+++ b/src/fleet/view/tests.rs
@@ -1,13 +1,17 @@
 use super::*;
-use crate::fleet::life::Life;
+use crate::fleet::update::Generation;
 
-pub(super) fn line(name: &str) -> Line {
-    Line { name: name.into(), life: Life(1), address: SocketAddr::from(([127, 0, 0, 1], 1)) }
+fn listed(name: &str) -> ViewMember {
+    ViewMember {
+        name: name.into(),
+        generation: Generation(1),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+    }
 }
 
 fn view(names: &[&str]) -> View {
-    let members = names.iter().map(|name| (name.to_string(), line(name))).collect();
-    View { id: ViewId { founded: 1, number: 1 }, members, ..View::default() }
+    let members = names.iter().map(|name| (name.to_string(), listed(name))).collect();
+    View { id: ViewId { bootstrap: 1, number: 1 }, members, ..View::default() }
 }
 
 fn ballot(round: u32, by: &str) -> Ballot {
@@ -32,19 +36,22 @@
     assert_eq!(proposal.accepted(&view, "b"), None);
     let decided = proposal.accepted(&view, "c").unwrap();
     let next = view.after(&decided);
-    assert_eq!((next.id.number, next.members.len(), next.most()), (2, 4, 3));
+    assert_eq!((next.id.number, next.members.len(), next.majority()), (2, 4, 3));
 }
 
 #[test]
-fn a_life_that_is_over_does_not_come_again_and_a_later_one_does() {
+fn a_generation_that_has_ended_does_not_come_again_and_a_later_one_does() {
     let view = view(&["a", "b", "c"]);
     let next = view.after(&takes_out("c"));
-    let comes = |life| Change { joins: vec![Line { life: Life(life), ..line("c") }], ..Change::default() };
+    let comes = |generation| Change {
+        joins: vec![ViewMember { generation: Generation(generation), ..listed("c") }],
+        ..Change::default()
+    };
     assert_eq!(next.after(&comes(1)).members.len(), 2);
     let again = next.after(&comes(2));
-    assert_eq!((again.members["c"].life, again.over["c"]), (Life(2), Life(1)));
+    assert_eq!((again.members["c"].generation, again.ended["c"]), (Generation(2), Generation(1)));
     assert_eq!(View::of(again.id, again.entries()), again);
-    assert!(!again.takes("c", Life(2)) && again.takes("c", Life(3)));
+    assert!(!again.takes("c", Generation(2)) && again.takes("c", Generation(3)));
 }
 
 #[test]
--- a/tests/net/fleet.rs
+++ b/tests/net/fleet.rs
@@ -29,7 +29,7 @@
 }
 
 #[test]
-fn most_of_the_seeds_found_a_fleet_another_joins_and_one_that_is_ended_leaves() {
+fn most_of_the_seeds_bootstrap_a_fleet_another_joins_and_one_that_is_ended_leaves() {
     let node = Node::echo();
     let discovery = Discovery::start(&[("s-1", node.address, 3)]);
     let places = places(3);
@@ -78,7 +78,7 @@
 }
 
 #[test]
-fn an_upgrade_keeps_the_member_and_one_that_dies_gives_it_back_as_another_life() {
+fn an_upgrade_keeps_the_member_and_one_that_dies_gives_it_back_as_another_generation() {
     let node = Node::echo();
     let discovery = Discovery::start(&[("s-1", node.address, 3)]);
     let (places, shared, listen) = (places(3), folder(), free_address());
@@ -107,13 +107,13 @@
     assert!(old.wait().success());
     eventually("it was probed by another", || (report(&new)["peers"][0]["heard_ms"].is_u64()).then_some(()));
     assert_eq!(report(&others[0])["view"], before, "nobody has noticed");
-    // The next one dies at once: the one before has the name again, in a later life.
+    // The next one dies at once: the one before has the name again, in a later generation.
     let mut third = start();
     third.kill();
-    let life = |view: &serde_json::Value| view["members"][0]["life"].as_u64();
-    eventually("it is back in a later life", || {
+    let generation = |view: &serde_json::Value| view["members"][0]["life"].as_u64();
+    eventually("it is back in a later generation", || {
         let view = report(&others[0])["view"].clone();
-        (life(&view) > life(&before)).then_some(())
+        (generation(&view) > generation(&before)).then_some(())
     });
     together(&others[1]);
     new.terminate();
