--- a/lab/src/membership/model.rs
+++ b/lab/src/membership/model.rs
@@ -4,9 +4,8 @@
 use stateright::{Checker, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use topazpath::fleet::frame::Line;
-use topazpath::fleet::life::Life;
-use topazpath::fleet::view::{Acceptor, Ballot, Change, Proposal, View, ViewId};
+use topazpath::fleet::update::Generation;
+use topazpath::fleet::view::{Acceptor, Ballot, Change, Proposal, View, ViewId, ViewMember};
 
 /// What is checked.
 #[derive(Clone, Debug)]
@@ -55,10 +54,10 @@
     fn view(&self) -> View {
         let line = |who| {
             let address = SocketAddr::from(([127, 0, 0, 1], 1 + who as u16));
-            (name(who), Line { name: name(who), life: Life(1), address })
+            (name(who), ViewMember { name: name(who), generation: Generation(1), address })
         };
-        let members: BTreeMap<String, Line> = (0..self.members).map(line).collect();
-        View { id: ViewId { founded: 1, number: 1 }, members, ..View::default() }
+        let members: BTreeMap<String, ViewMember> = (0..self.members).map(line).collect();
+        View { id: ViewId { bootstrap: 1, number: 1 }, members, ..View::default() }
     }
 
     /// Puts messages on their way; what a member says to itself is heard at once, as in the program.
@@ -148,7 +147,7 @@
             Action::Arrives(message) => self.arrives(&mut state, message),
             Action::Restarts(who) => {
                 state.restarts -= 1;
-                // Another life has no vote in this view; one that is taken for the same has forgotten.
+                // Another generation has no vote in this view; one that is taken for the same has forgotten.
                 state.acceptors[who] = self.forgets.then(Acceptor::default);
                 state.proposals.iter_mut().skip(who).take(1).for_each(|proposal| *proposal = None);
                 state.tries.iter_mut().skip(who).take(1).for_each(|tries| *tries = 0);
@@ -196,17 +195,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn no_two_views_of_one_number_are_decided_and_a_planted_fault_is_found() {
-        let _processor = crate::sync::processor::shared();
-        for (what, model) in recorded(true) {
-            let (states, broken) = check(model);
-            assert!(states > 1000 && broken.is_empty(), "{what}: {states} states, {broken:?}");
-        }
-        let forgets = Voting { members: 3, tries: vec![1, 1], restarts: 1, forgets: true };
-        assert_eq!(check(forgets).1, ["one view of a number"]);
-    }
-}
+mod tests;
--- a/lab/src/membership/script.rs
+++ b/lab/src/membership/script.rs
@@ -1,5 +1,5 @@
-//! `topazpath-lab fleet-script FILE`: a script of faults among real processes, and a timeline of what came of it: faults,
-//! phases, views and log lines as JSON, a line each, on one clock.
+//! `topazpath-lab fleet-script FILE`: a script of faults among real processes, and a timeline of what came of it:
+//! faults, phases, views and log lines as JSON, a line each, on one clock.
 
 use super::processes::{Breaches, Rig};
 use crate::arguments::Common;
@@ -197,7 +197,7 @@
     }
     steps.sort();
     let (mut under_way, mut logged): (Vec<usize>, Vec<usize>) = (Vec::new(), vec![0; members]);
-    let mut told: Vec<Option<Value>> = vec![None; members];
+    let mut reported: Vec<Option<Value>> = vec![None; members];
     while start.elapsed() < Duration::from_secs(script.seconds) || !steps.is_empty() {
         while steps.first().is_some_and(|(at, ..)| *at <= start.elapsed()) {
             let (_, number, begins) = steps.remove(0);
@@ -216,9 +216,9 @@
         }
         for who in 0..members {
             let said = rig.ask(who).map(|said| said.summary());
-            if let Some(said) = said.filter(|said| told[who].as_ref() != Some(said)) {
+            if let Some(said) = said.filter(|said| reported[who].as_ref() != Some(said)) {
                 timeline.add("says", json!({ "member": rig.names[who], "of": said }))?;
-                told[who] = Some(said);
+                reported[who] = Some(said);
             }
             let log = rig.machines[who].log();
             let lines: Vec<&str> = log.lines().filter(|line| line.contains("fleet")).collect();
@@ -257,53 +257,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::sync::processor::{alone, steady};
-
-    const SHIPPED: [&str; 2] = [
-        include_str!("../../incidents/fleet-cut-and-pause.toml"),
-        include_str!("../../incidents/fleet-rolling-in-loss.toml"),
-    ];
-
-    #[test]
-    fn each_error_of_a_script_is_one_line_that_names_it() {
-        SHIPPED.iter().for_each(|text| drop(Script::parse(text).unwrap()));
-        for (from, to, key) in [
-            ("members = 5", "members = 2", "members"),
-            ("seconds = 20", "seconds = 0", "seconds"),
-            ("seconds = 20", "seconds = 5", "fault 0"),
-            ("who = [0, 1]", "who = [9]", "who"),
-            ("who = [0, 1]", "who = []", "who"),
-            ("kind = \"split\"", "kind = \"cut\"", "to"),
-            ("may_go = [0, 1, 3]", "may_go = [5]", "may_go"),
-            ("seed = 7", "seeds = 7", "seeds"),
-        ] {
-            let text = SHIPPED[0].replacen(from, to, 1);
-            assert_ne!(text, SHIPPED[0], "{from}");
-            let why = Script::parse(&text).unwrap_err();
-            assert!(why.contains(key) && !why.contains('\n'), "{key}: {why}");
-        }
-    }
-
-    #[test]
-    fn a_script_of_overlapping_faults_breaks_no_rule_and_leaves_a_timeline() {
-        let _processor = alone();
-        let program = crate::vrrp::experiments::program().unwrap();
-        let script = Script::parse(SHIPPED[0]).unwrap();
-        let file = std::env::temp_dir().join(format!("topazpath-timeline-{}", std::process::id()));
-        let (breaches, _) = steady(|| {
-            let output = Box::new(std::fs::File::create(&file).unwrap());
-            play(&program, &script, 91, &mut Timeline { output }).unwrap()
-        });
-        let lines = std::fs::read_to_string(&file).unwrap();
-        std::fs::remove_file(&file).unwrap();
-        assert!(breaches.none(), "{breaches:?}");
-        let lines: Vec<Value> = lines.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
-        for what in ["fault", "mended", "says", "log", "settled"] {
-            assert!(lines.iter().any(|line| line["what"] == what), "{what}");
-        }
-        let times: Vec<u64> = lines.iter().filter_map(|line| line["ms"].as_u64()).collect();
-        assert!(times.is_sorted() && times.len() == lines.len());
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/fleet/member/agreement.rs
@@ -0,0 +1,208 @@
+//! Agreeing on the next view: what it is to change, when to propose it, and the votes of one decision. The rule itself
+//! is in [`crate::fleet::view`]; here is when a member takes part in it.
+
+use super::receive::Sender;
+use super::{Action, Member, Phase};
+use crate::fleet::frame::Message;
+use crate::fleet::suspicion::{bounds, Suspicion};
+use crate::fleet::update::{Standing, Update};
+use crate::fleet::view::{Ballot, Change, Proposal, ViewId, ViewMember, MAX_CHANGES};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Periods in which no sign of a fleet may come before one is bootstrapped.
+const BOOTSTRAP_AFTER: u32 = 4;
+/// Periods after which a proposal is made again.
+const RETRY_AFTER: u32 = 2;
+/// Share of a period in which changes are gathered before a proposal.
+const GATHERING: f64 = 0.5;
+
+impl Member {
+    /// Whether a sender has a vote on what comes after its view, and this one counts it.
+    pub(super) fn can_vote(&self, sender: Sender) -> bool {
+        let bootstrapping = sender.view == ViewId::default();
+        let listed = self.view.members.get(sender.name);
+        let own = self.view.members.contains_key(&self.own.name);
+        let votes = match bootstrapping {
+            true => self.phase == Phase::Joining,
+            false => matches!(self.phase, Phase::Member | Phase::Leaving),
+        };
+        let same = listed.is_some_and(|listed| bootstrapping || listed.generation == sender.generation);
+        sender.view == self.view.id && own && votes && same
+    }
+
+    /// A message of one decision, from a member that has a vote.
+    pub(super) fn receive_vote(
+        &mut self,
+        now: Duration,
+        sender: Sender,
+        message: Message,
+        actions: &mut Vec<Action>,
+    ) {
+        match message {
+            Message::Prepare { ballot, leaves } => {
+                if let Some(accepted) = self.acceptor.prepare(&ballot) {
+                    let objections = self.objections(now, leaves);
+                    self.send(sender.address, Message::Promise { ballot, accepted, objections }, actions);
+                }
+            }
+            Message::Promise { ballot, accepted, objections } => {
+                self.count_vote(now, sender.name, &ballot, accepted, objections, actions);
+            }
+            Message::Propose { ballot, change } => {
+                if self.acceptor.propose(&ballot, &change) {
+                    self.send(sender.address, Message::Accepted(ballot), actions);
+                }
+            }
+            Message::Accepted(ballot) => self.count_accepted(now, sender.name, &ballot, actions),
+            _ => {}
+        }
+    }
+
+    /// Those of the members that are to go whose going this one objects to.
+    fn objections(&self, now: Duration, leaves: Vec<String>) -> Vec<String> {
+        leaves.into_iter().filter(|name| !self.agrees(now, name)).collect()
+    }
+
+    /// Whether a member may go as far as this one knows: it announced that it leaves, or a suspicion of it has stood
+    /// unrefuted here for half of the least time. Guards against a suspicion that arose elsewhere and came here just
+    /// now.
+    fn agrees(&self, now: Duration, name: &str) -> bool {
+        let own = name == self.own.name && self.phase != Phase::Leaving;
+        let Some(peer) = self.peers.get(name) else { return !own };
+        let (least, _) = bounds(self.own.period, self.own.suspicion_periods, self.view.members.len());
+        let stands = |suspicion: &Suspicion| now.saturating_sub(suspicion.since) >= least / 2;
+        peer.suspicion.as_ref().is_some_and(stands) || peer.update.standing == Standing::Leaving
+    }
+
+    /// What the next view is to change, as far as this member knows.
+    fn wanted(&self, now: Duration) -> Change {
+        let bootstrapping = self.view.id == ViewId::default();
+        let bootstrap = bootstrapping.then(|| self.bootstrap_stamp(now).max(self.dead.bootstrap + 1));
+        let leaves = if bootstrapping { Vec::new() } else { self.wanted_leaves() };
+        let joins = self.wanted_joins(bootstrapping, MAX_CHANGES - leaves.len());
+        Change { bootstrap, joins, leaves }
+    }
+
+    /// Members of the view that are lost here, or have announced that they leave.
+    fn wanted_leaves(&self) -> Vec<String> {
+        let goes = |listed: &&ViewMember| {
+            let peer =
+                self.peers.get(&listed.name).filter(|peer| peer.update.generation == listed.generation);
+            peer.is_some_and(|peer| peer.lost || peer.update.standing == Standing::Leaving)
+        };
+        let leaves = self.view.members.values().filter(goes).take(MAX_CHANGES);
+        leaves.map(|listed| listed.name.clone()).collect()
+    }
+
+    /// Members that ask to be taken in, at most so many; at a bootstrap this one too.
+    fn wanted_joins(&self, bootstrapping: bool, most: usize) -> Vec<ViewMember> {
+        let own = bootstrapping.then(|| self.own_update());
+        let updates = self.peers.values().map(|peer| &peer.update).chain(&own);
+        let joins = updates.filter(|update| {
+            let comes = bootstrapping || self.view.takes(&update.name, update.generation);
+            comes && !matches!(update.standing, Standing::Leaving | Standing::Suspect { .. })
+        });
+        let listed = |update: &Update| {
+            let (name, generation, address) = (update.name.clone(), update.generation, update.address);
+            ViewMember { name, generation, address }
+        };
+        joins.take(most).map(listed).collect()
+    }
+
+    /// When to propose another view: the first of those that are not lost proposes at once, each further one later.
+    pub(super) fn plan_proposal(&mut self, now: Duration) {
+        if self.propose_at.is_some() || !self.view_may_change {
+            return;
+        }
+        if self.wanted(now).is_empty() {
+            self.view_may_change = false;
+            return;
+        }
+        let bootstrapping = self.view.id == ViewId::default();
+        let may = match bootstrapping {
+            true => self.phase == Phase::Joining && self.view.members.contains_key(&self.own.name),
+            false => self.is_quorate(now),
+        };
+        if !may {
+            return;
+        }
+        let rank = self.rank();
+        let first = if bootstrapping { self.phase_since + self.own.period * BOOTSTRAP_AFTER } else { now };
+        let pause = self.own.period.mul_f64(GATHERING * (1.0 + self.random.draw() / 4.0));
+        self.propose_at = Some(first.max(now) + pause + self.own.period * RETRY_AFTER * rank);
+    }
+
+    /// How many of the view come before this member in the order of names and are not lost here.
+    fn rank(&self) -> u32 {
+        let lost = |name: &&String| self.peers.get(*name).is_some_and(|peer| peer.lost);
+        let before = self.view.members.keys().take_while(|name| **name != self.own.name);
+        before.filter(|name| !lost(name)).count() as u32
+    }
+
+    /// Proposes the next view, if there is something to change.
+    pub(super) fn propose_now(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        self.propose_at = None;
+        let change = self.wanted(now);
+        let bootstrapping = self.view.id == ViewId::default();
+        let heard = |listed: &&ViewMember| self.view.members.contains_key(&listed.name);
+        let enough = !bootstrapping || change.joins.iter().filter(heard).count() >= self.view.majority();
+        if change.is_empty() || !enough {
+            return;
+        }
+        self.counters.proposals += 1;
+        let round = self.acceptor.promised().round + 1;
+        let ballot = Ballot { round, by: self.own.name.clone() };
+        let leaves = change.leaves.clone();
+        self.proposal = Some(Proposal::new(ballot.clone(), change));
+        let pause = self.own.period.mul_f64(f64::from(RETRY_AFTER) + self.random.draw());
+        self.propose_at = Some(now + pause);
+        self.broadcast(&Message::Prepare { ballot: ballot.clone(), leaves: leaves.clone() }, actions);
+        if let Some(accepted) = self.acceptor.prepare(&ballot) {
+            let objections = self.objections(now, leaves);
+            let own = self.own.name.clone();
+            self.count_vote(now, &own, &ballot, accepted, objections, actions);
+        }
+    }
+
+    /// Sends a message to all others of the view.
+    fn broadcast(&mut self, message: &Message, actions: &mut Vec<Action>) {
+        let others = self.view.members.values().filter(|listed| listed.name != self.own.name);
+        let others: Vec<SocketAddr> = others.map(|listed| listed.address).collect();
+        others.into_iter().for_each(|to| self.send(to, message.clone(), actions));
+    }
+
+    /// A vote for this member's proposal: once most have voted, what follows from them is proposed.
+    fn count_vote(
+        &mut self,
+        now: Duration,
+        from: &str,
+        ballot: &Ballot,
+        accepted: Option<(Ballot, Change)>,
+        objections: Vec<String>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(proposal) = self.proposal.as_mut().filter(|it| it.ballot == *ballot) else { return };
+        let Some(change) = proposal.vote(&self.view, from, accepted, objections) else { return };
+        self.broadcast(&Message::Propose { ballot: ballot.clone(), change: change.clone() }, actions);
+        if self.acceptor.propose(ballot, &change) {
+            let own = self.own.name.clone();
+            self.count_accepted(now, &own, ballot, actions);
+        }
+    }
+
+    /// What this member proposed was accepted by one more: once most have, it is the next view.
+    fn count_accepted(&mut self, now: Duration, from: &str, ballot: &Ballot, actions: &mut Vec<Action>) {
+        let Some(proposal) = self.proposal.as_mut().filter(|it| it.ballot == *ballot) else { return };
+        let Some(change) = proposal.accepted(&self.view, from) else { return };
+        let (after, next) = (self.view.id, self.view.after(&change));
+        let listed = self.view.members.values().chain(change.joins.iter());
+        let sent: BTreeSet<SocketAddr> =
+            listed.filter(|listed| listed.name != self.own.name).map(|listed| listed.address).collect();
+        for to in sent {
+            self.send(to, Message::Decided { after, change: change.clone() }, actions);
+        }
+        self.install(now, next, "decided by most", actions);
+    }
+}
--- /dev/null
+++ b/src/fleet/member/probe.rs
@@ -0,0 +1,211 @@
+//! Probes: each period the next member of a shuffled round is probed, directly and then through helpers, and what the
+//! silence of all of them means.
+
+use super::{Action, Member};
+use crate::fleet::frame::Message;
+use crate::fleet::update::{Standing, Update};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Indirect probes that are made for others at once. Guards the memory against whoever asks for more.
+const MAX_RELAYED: usize = 256;
+
+/// The probe of this period.
+pub(super) struct Probe {
+    pub(super) number: u32,
+    pub(super) name: String,
+    pub(super) sent: Duration,
+    /// Helpers that were asked; 0: not yet.
+    pub(super) asked: usize,
+    /// Helpers that answered.
+    pub(super) reports: usize,
+    pub(super) answered: bool,
+}
+
+/// An indirect probe that is made for another member.
+pub(super) struct RelayedProbe {
+    pub(super) number: u32,
+    pub(super) until: Duration,
+    pub(super) asker: SocketAddr,
+    pub(super) theirs: u32,
+}
+
+impl Member {
+    /// Does what is due of probes.
+    pub(super) fn run_probes(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.next_indirect_probe().is_some_and(|at| at <= now) {
+            self.ask_helpers(actions);
+        }
+        if self.next_probe <= now {
+            self.conclude_probe(now, actions);
+            self.forget_joiners(now);
+            self.send_probe(now, actions);
+            self.probe_absent_seed(actions);
+            self.next_probe = now + self.health.stretch(self.own.period);
+        }
+    }
+
+    /// When helpers are asked about a probe that has no answer yet.
+    pub(super) fn next_indirect_probe(&self) -> Option<Duration> {
+        let probe = self.probe.as_ref().filter(|probe| probe.asked == 0 && !probe.answered);
+        probe.map(|probe| probe.sent + self.health.stretch(self.own.answer))
+    }
+
+    /// Probes the next member of the round.
+    fn send_probe(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let in_view = |name: &String| self.view.members.contains_key(name);
+        while self.round.pop_if(|name| !in_view(name)).is_some() {}
+        if self.round.is_empty() {
+            self.begin_round();
+        }
+        let Some(name) = self.round.pop() else { return };
+        let Some(peer) = self.peers.get(&name) else { return };
+        let (address, update) = (peer.update.address, peer.suspicion.is_some().then(|| peer.update.clone()));
+        self.last_number = self.last_number.wrapping_add(1);
+        self.counters.probes += 1;
+        let number = self.last_number;
+        self.probe = Some(Probe { number, name, sent: now, asked: 0, reports: 0, answered: false });
+        // A suspect learns of it at once, and can refute it.
+        update.into_iter().for_each(|update| self.enqueue(update));
+        self.send(address, Message::Ping(number), actions);
+    }
+
+    /// Shuffles all others of the view.
+    fn begin_round(&mut self) {
+        let others = self.view.members.keys().filter(|name| **name != self.own.name);
+        let mut round: Vec<String> = others.cloned().collect();
+        for at in (1..round.len()).rev() {
+            let other = self.draw(at + 1);
+            round.swap(at, other);
+        }
+        self.round = round;
+    }
+
+    /// No answer came so far: helpers are asked for an indirect probe.
+    fn ask_helpers(&mut self, actions: &mut Vec<Action>) {
+        let Some(probe) = &self.probe else { return };
+        let (number, name) = (probe.number, probe.name.clone());
+        let others = |it: &&String| **it != name && **it != self.own.name;
+        let others = self.view.members.keys().filter(others);
+        let live = |it: &&String| self.peers.get(*it).is_some_and(|peer| peer.suspicion.is_none());
+        let mut others: Vec<String> = others.filter(live).cloned().collect();
+        let Some(address) = self.peers.get(&name).map(|peer| peer.update.address) else { return };
+        let mut asked = 0;
+        while asked < self.own.helpers && !others.is_empty() {
+            let at = self.draw(others.len());
+            let other = others.swap_remove(at);
+            let Some(to) = self.peers.get(&other).map(|peer| peer.update.address) else { continue };
+            self.send(to, Message::IndirectProbe { number, name: name.clone(), address }, actions);
+            asked += 1;
+        }
+        self.counters.indirect_probes += asked as u64;
+        if let Some(probe) = &mut self.probe {
+            // Where nobody else is there, nobody needs to be asked again.
+            probe.asked = asked.max(1);
+        }
+    }
+
+    /// Probes a member for another one that got no answer of it.
+    pub(super) fn relay_probe(
+        &mut self,
+        now: Duration,
+        theirs: u32,
+        address: SocketAddr,
+        asker: SocketAddr,
+        actions: &mut Vec<Action>,
+    ) {
+        self.last_number = self.last_number.wrapping_add(1);
+        let (number, until) = (self.last_number, now + self.own.answer);
+        self.relayed.push(RelayedProbe { number, until, asker, theirs });
+        self.relayed.truncate(MAX_RELAYED);
+        self.send(address, Message::Ping(number), actions);
+    }
+
+    /// Reports indirect probes that were not answered in time.
+    pub(super) fn expire_relayed(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        while let Some(at) = self.relayed.iter().position(|relayed| relayed.until <= now) {
+            let relayed = self.relayed.swap_remove(at);
+            self.send(
+                relayed.asker,
+                Message::IndirectResult { number: relayed.theirs, there: false },
+                actions,
+            );
+        }
+    }
+
+    /// A probe was answered: this member's own, or one that it made for another.
+    pub(super) fn receive_ack(&mut self, now: Duration, number: u32, from: &str, actions: &mut Vec<Action>) {
+        if let Some(at) = self.relayed.iter().position(|relayed| relayed.number == number) {
+            let relayed = self.relayed.swap_remove(at);
+            return self.send(
+                relayed.asker,
+                Message::IndirectResult { number: relayed.theirs, there: true },
+                actions,
+            );
+        }
+        let Some(probe) = self.probe.as_mut().filter(|it| it.number == number && it.name == from) else {
+            return;
+        };
+        probe.answered = true;
+        if now.saturating_sub(probe.sent) <= self.own.answer {
+            self.health.was_answered();
+        }
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.answered = Some(now);
+        }
+        self.clear_suspicion(from, "answered", actions);
+    }
+
+    /// A helper reports what came of an indirect probe.
+    pub(super) fn receive_indirect_result(
+        &mut self,
+        now: Duration,
+        number: u32,
+        there: bool,
+        by: &str,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(probe) = self.probe.as_mut().filter(|probe| probe.number == number) else { return };
+        probe.reports += 1;
+        let all_reported = probe.reports >= probe.asked;
+        if there {
+            probe.answered = true;
+            let name = probe.name.clone();
+            if let Some(peer) = self.peers.get_mut(&name) {
+                peer.found = Some((now, by.to_string()));
+            }
+            self.clear_suspicion(&name, "found by another", actions);
+        } else if all_reported {
+            // No helper reached it: the rest of the period would bring nothing more.
+            self.conclude_probe(now, actions);
+        }
+    }
+
+    /// Ends the probe: without any answer its member is suspected, or this member lowers its own health.
+    fn conclude_probe(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let Some(probe) = self.probe.take().filter(|probe| !probe.answered) else { return };
+        let few = self.view.members.len() <= 2;
+        if probe.reports == 0 && !few {
+            // Nobody answered at all: it suspects itself first.
+            return self.health.heard_nobody();
+        }
+        let Some(peer) = self.peers.get(&probe.name) else { return };
+        let in_view = self
+            .view
+            .members
+            .get(&probe.name)
+            .is_some_and(|listed| listed.generation == peer.update.generation);
+        if peer.update.standing == Standing::Leaving || !in_view {
+            return;
+        }
+        let standing = Standing::Suspect { by: self.own.name.clone() };
+        let update = Update { standing, ..peer.update.clone() };
+        if peer.suspicion.is_none() {
+            self.counters.suspicions += 1;
+        }
+        if let Some(peer) = self.peers.get_mut(&probe.name) {
+            peer.update = update.clone();
+        }
+        self.suspect(now, &update, actions);
+    }
+}
--- /dev/null
+++ b/src/fleet/member/send.rs
@@ -0,0 +1,34 @@
+//! Outgoing datagrams: a message to one address, with piggybacked updates.
+
+use super::{Action, Member, Phase};
+use crate::fleet::frame::{Frame, Message};
+use crate::fleet::update::{Standing, Update};
+use std::net::SocketAddr;
+
+impl Member {
+    /// Sends a message, with updates where they fit.
+    pub(super) fn send(&mut self, to: SocketAddr, message: Message, actions: &mut Vec<Action>) {
+        let updates = match message {
+            // A receiver that does not know this view yet learns who sends.
+            Message::Ping(_) => [vec![self.own_update()], self.gossip.next_batch()].concat(),
+            Message::Ack(_) | Message::IndirectProbe { .. } | Message::IndirectResult { .. } => {
+                self.gossip.next_batch()
+            }
+            Message::Join | Message::NameTaken(_) | Message::Fetch(_) => vec![self.own_update()],
+            _ => Vec::new(),
+        };
+        let (from, generation, view) = (self.own.name.clone(), self.generation, self.view.id);
+        actions.push(Action::Send(to, Frame { from, generation, view, message, updates }));
+    }
+
+    /// The update about this member.
+    pub(super) fn own_update(&self) -> Update {
+        let standing = match self.phase {
+            Phase::Member => Standing::Alive,
+            Phase::Leaving => Standing::Leaving,
+            _ => Standing::Joining,
+        };
+        let (name, address) = (self.own.name.clone(), self.own.address);
+        Update { name, address, generation: self.generation, incarnation: self.incarnation, standing }
+    }
+}
--- /dev/null
+++ b/src/fleet/member/updates.rs
@@ -0,0 +1,106 @@
+//! Incoming updates: about other members, and about this one.
+
+use super::{Action, Member, Peer, Phase, MAX_MEMBERS};
+use crate::fleet::frame::Message;
+use crate::fleet::update::{Standing, Update};
+use std::time::Duration;
+
+impl Member {
+    /// Takes an update.
+    pub(super) fn receive_update(&mut self, now: Duration, update: Update, actions: &mut Vec<Action>) {
+        if update.name == self.own.name {
+            return self.receive_own_update(now, &update, actions);
+        }
+        let in_view =
+            self.view.members.get(&update.name).is_some_and(|listed| listed.generation == update.generation);
+        let suspected = matches!(update.standing, Standing::Suspect { .. });
+        // An update of a generation that has ended, or a suspicion of one that has not joined, changes nothing.
+        if self.has_ended(&update) || (suspected && !in_view) {
+            return;
+        }
+        let Some(peer) = self.peers.get_mut(&update.name) else {
+            return self.add_peer(now, update, actions);
+        };
+        if !in_view && update.generation >= peer.update.generation {
+            // It still asks to be taken in.
+            peer.since = now;
+        }
+        if update.replaces(&peer.update) {
+            self.replace(now, update, actions);
+        } else if suspected
+            && update.generation == peer.update.generation
+            && update.incarnation == peer.update.incarnation
+        {
+            self.suspect(now, &update, actions);
+        }
+    }
+
+    /// Whether an update is of a generation that a view has ended, or that a later one of its name replaced.
+    fn has_ended(&self, update: &Update) -> bool {
+        self.view.members.get(&update.name).is_some_and(|listed| listed.generation > update.generation)
+            || self.view.ended.get(&update.name).is_some_and(|generation| *generation >= update.generation)
+    }
+
+    /// A member is heard of for the first time.
+    fn add_peer(&mut self, now: Duration, update: Update, actions: &mut Vec<Action>) {
+        if self.peers.len() >= MAX_MEMBERS {
+            return;
+        }
+        self.peers.insert(update.name.clone(), Peer::new(update.clone(), now));
+        self.view_may_change = true;
+        self.enqueue(update.clone());
+        if matches!(update.standing, Standing::Suspect { .. }) {
+            self.suspect(now, &update, actions);
+        }
+    }
+
+    /// An update takes the place of what was known of its member.
+    fn replace(&mut self, now: Duration, update: Update, actions: &mut Vec<Action>) {
+        let Some(peer) = self.peers.get_mut(&update.name) else { return };
+        let another = update.generation != peer.update.generation;
+        // Guards a member against forged moves: one generation has one address.
+        let address = if another { update.address } else { peer.update.address };
+        let update = Update { address, ..update };
+        if another {
+            (peer.heard, peer.answered, peer.found) = (None, None, None);
+        }
+        peer.update = update.clone();
+        if matches!(update.standing, Standing::Suspect { .. }) {
+            return self.suspect(now, &update, actions);
+        }
+        peer.lost = false;
+        if peer.suspicion.take().is_some() && !another {
+            let evidence = format!("incarnation {}", update.incarnation);
+            actions.push(Action::Note { name: update.name.clone(), what: "refuted", evidence });
+        }
+        (self.view_may_change, self.generations_changed) = (true, self.generations_changed || another);
+        self.enqueue(update);
+    }
+
+    /// An update about this member: a suspicion is refuted, and a later generation of its name is another process.
+    fn receive_own_update(&mut self, now: Duration, update: &Update, actions: &mut Vec<Action>) {
+        if update.generation > self.generation {
+            return self.resolve_name_conflict(now, update.generation, actions);
+        }
+        let suspected = matches!(update.standing, Standing::Suspect { .. });
+        if update.generation == self.generation
+            && suspected
+            && update.incarnation >= self.incarnation
+            && self.phase == Phase::Member
+        {
+            self.refute(update.incarnation, actions);
+        }
+    }
+
+    /// Refutes a suspicion of this incarnation by a higher one.
+    fn refute(&mut self, incarnation: u32, actions: &mut Vec<Action>) {
+        self.incarnation = incarnation + 1;
+        self.counters.refuted += 1;
+        let update = self.own_update();
+        self.enqueue(update);
+        // A few get it at once: a member that was late probes seldom, and the refutation must not wait for that.
+        for to in self.random_members(self.own.helpers) {
+            self.send(to, Message::Ping(0), actions);
+        }
+    }
+}
