--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -171,19 +171,9 @@
         let door = door.transpose()?;
         let mut tokens = Tokens::new();
         let planners = (!config.planners.is_empty()).then(|| {
-            let (addresses, settings) = (&config.planners, settings.clone());
+            let (addresses, settings) = (&config.planners, (settings.clone(), None));
             let (partitions, name) = (config.partitions, config.name.as_str());
-            let names = None;
-            Planners::new(
-                addresses,
-                partitions,
-                name,
-                settings,
-                names,
-                config.seed,
-                (clock, now),
-                &mut tokens,
-            )
+            Planners::new(addresses, partitions, name, settings, config.seed, (clock, now), &mut tokens)
         });
         let mut planner = Planner::new(settings, config.seed, clock);
         let mut core = Core::new(clock, retry_after);
--- a/src/planner/client/tests.rs
+++ b/src/planner/client/tests.rs
@@ -82,7 +82,7 @@
         let names = Names { classes: Vec::new(), plans: vec!["base".into()] };
         let names = is_on.then_some(names);
         let clock = (Clock::start(), now);
-        let planners = Planners::new(&addresses, 1, "i-1", settings(), names, 7, clock, &mut Tokens::new());
+        let planners = Planners::new(&addresses, 1, "i-1", (settings(), names), 7, clock, &mut Tokens::new());
         let said = vec![Vec::new(); count];
         let mut bed = Bed { poll: Poll::new().unwrap(), planners, fakes, said, now };
         bed.until("all have greeted", |bed| bed.said.iter().all(|said| !said.is_empty()));
