--- a/lab/src/revisions/world.rs
+++ b/lab/src/revisions/world.rs
@@ -417,7 +417,7 @@
             }
             _ => {}
         }
-        self.handle(who, Event::Propose(handed));
+        self.handle(who, Event::Propose(Box::new(handed)));
         if left > 0 {
             let next = self.random.random_range(0..self.machines.len());
             let at = self.now + RETRY.mul_f64(0.5 + 8.0 * self.random.random::<f64>());
--- a/src/fleet/member/agreement.rs
+++ b/src/fleet/member/agreement.rs
@@ -51,7 +51,8 @@
                 self.count_vote(now, sender.name, &ballot, accepted, objections, actions);
             }
             Message::Propose { ballot, change } => {
-                if self.acceptor.propose(&ballot, &change) {
+                let accepted = self.acceptor.propose(&ballot, &change);
+                if accepted {
                     self.send(sender.address, Message::Accepted(ballot), actions);
                 }
             }
--- a/src/planner/configuration.rs
+++ b/src/planner/configuration.rs
@@ -235,7 +235,7 @@
         }
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         proposal.submitted_ms = unix.as_millis() as u64;
-        self.agree(now, agreement::Event::Propose(proposal), said)
+        self.agree(now, agreement::Event::Propose(Box::new(proposal)), said)
     }
 
     /// What makes a proposal one that no planner can accept.
--- a/src/revisions/agreement.rs
+++ b/src/revisions/agreement.rs
@@ -78,7 +78,7 @@
     /// A message of another voter has come, as [`Action::Send`] gave it there.
     Message(Vec<u8>),
     /// Somebody submits a document here.
-    Propose(Proposal),
+    Propose(Box<Proposal>),
     /// A timer is due.
     Tick,
 }
@@ -208,7 +208,7 @@
     ) -> Result<(), StoreError> {
         match event {
             Event::Message(bytes) => self.take_message(&bytes),
-            Event::Propose(proposal) => self.propose(now, proposal, actions),
+            Event::Propose(proposal) => self.propose(now, &proposal, actions),
             Event::Tick => self.tick(now, actions),
         }
         self.carry_out(actions)?;
@@ -270,7 +270,7 @@
         }
     }
 
-    fn propose(&mut self, now: Duration, proposal: Proposal, actions: &mut Vec<Action>) {
+    fn propose(&mut self, now: Duration, proposal: &Proposal, actions: &mut Vec<Action>) {
         let id = proposal.id;
         if let Some(outcome) = self.machine.outcome(id) {
             actions.push(Action::Decided { id, outcome: outcome.clone() });
@@ -280,7 +280,7 @@
             // It is told once, for both.
             return;
         }
-        match self.pass_on(&proposal) {
+        match self.pass_on(proposal) {
             Ok(()) => {
                 self.waiting.insert(id, now + self.parameters.proposal_timeout);
             }
--- a/src/revisions/agreement/tests.rs
+++ b/src/revisions/agreement/tests.rs
@@ -131,7 +131,7 @@
         expected: RevisionId,
     ) -> Result<RevisionId, ProposalError> {
         self.decided.clear();
-        self.handle(voter, Event::Propose(proposal(id, expected)));
+        self.handle(voter, Event::Propose(Box::new(proposal(id, expected))));
         self.deliver();
         self.run(3);
         let mut found = self.decided.iter().filter(|(at, of, _)| *at == voter && of.0 == id);
@@ -187,8 +187,8 @@
     let (leader, follower) = (group.leader(), group.follower());
     let seen = group.submit(leader, 1).unwrap();
     group.decided.clear();
-    group.handle(leader, Event::Propose(proposal(2, seen)));
-    group.handle(follower, Event::Propose(proposal(3, seen)));
+    group.handle(leader, Event::Propose(Box::new(proposal(2, seen))));
+    group.handle(follower, Event::Propose(Box::new(proposal(3, seen))));
     group.deliver();
     group.run(3);
     let accepted: Vec<_> = group.decided.iter().filter(|(_, _, outcome)| outcome.is_ok()).collect();
@@ -212,9 +212,9 @@
     // Twice at once, at two replicas: once in the log's order, and told to both.
     group.decided.clear();
     let expected = group.replica(leader).newest().unwrap().id;
-    group.handle(leader, Event::Propose(proposal(4, expected)));
-    group.handle(leader, Event::Propose(proposal(4, expected)));
-    group.handle(follower, Event::Propose(proposal(4, expected)));
+    group.handle(leader, Event::Propose(Box::new(proposal(4, expected))));
+    group.handle(leader, Event::Propose(Box::new(proposal(4, expected))));
+    group.handle(follower, Event::Propose(Box::new(proposal(4, expected))));
     group.deliver();
     group.run(3);
     assert_eq!(group.decided.len(), 2, "{:?}", group.decided);
@@ -238,13 +238,13 @@
     let mut long = proposal(3, RevisionId::none());
     long.document.nodes_out.insert("n".repeat(LONGEST_DOCUMENT));
     for proposal in [spoilt, author, long] {
-        group.handle(leader, Event::Propose(proposal));
+        group.handle(leader, Event::Propose(Box::new(proposal)));
         assert!(matches!(group.decided.pop(), Some((_, _, Err(ProposalError::Invalid(_))))));
     }
     assert_eq!(group.stores[leader as usize - 1].writes(), writes);
     group.loses = |_| true;
     for id in 0..=MOST_PROPOSALS_WAITING as u128 {
-        group.handle(leader, Event::Propose(proposal(100 + id, RevisionId::none())));
+        group.handle(leader, Event::Propose(Box::new(proposal(100 + id, RevisionId::none()))));
     }
     let last = ProposalId(100 + MOST_PROPOSALS_WAITING as u128);
     assert_eq!(group.decided, [(leader, last, Err(ProposalError::Busy))]);
@@ -256,7 +256,7 @@
     group.run(60);
     let leader = group.leader();
     (1..=3).filter(|it| *it != leader).for_each(|it| group.stop(it));
-    group.handle(leader, Event::Propose(proposal(1, RevisionId::none())));
+    group.handle(leader, Event::Propose(Box::new(proposal(1, RevisionId::none()))));
     assert_eq!(group.replica(leader).next_timer(), group.now + TICK);
     group.run(49);
     assert_eq!(group.decided, []);
@@ -338,7 +338,7 @@
                 for id in 1..=4 {
                     let leader = group.leader();
                     let expected = group.replica(leader).newest().map_or_else(RevisionId::none, |it| it.id);
-                    group.handle(leader, Event::Propose(proposal(id, expected)));
+                    group.handle(leader, Event::Propose(Box::new(proposal(id, expected))));
                     group.deliver();
                     group.run(30);
                 }
