--- a/src/fleet/member/agreement.rs
+++ b/src/fleet/member/agreement.rs
@@ -50,16 +50,19 @@
             Message::Promise { ballot, accepted, objections } => {
                 self.count_vote(now, sender.name, &ballot, accepted, objections, actions);
             }
-            Message::Propose { ballot, change } => {
-                if self.acceptor.propose(&ballot, &change) {
-                    self.send(sender.address, Message::Accepted(ballot), actions);
-                }
-            }
+            Message::Propose { ballot, change } => self.accept(sender, ballot, &change, actions),
             Message::Accepted(ballot) => self.count_accepted(now, sender.name, &ballot, actions),
             _ => {}
         }
     }
 
+    /// Accepts a proposal, unless a higher ballot has this member's vote.
+    fn accept(&mut self, sender: Sender, ballot: Ballot, change: &Change, actions: &mut Vec<Action>) {
+        if self.acceptor.propose(&ballot, change) {
+            self.send(sender.address, Message::Accepted(ballot), actions);
+        }
+    }
+
     /// Those of the members that are to go whose going this one objects to.
     fn objections(&self, now: Duration, leaves: Vec<String>) -> Vec<String> {
         leaves.into_iter().filter(|name| !self.agrees(now, name)).collect()
