Fleet: what is handed over in an upgrade keeps its serialized names

The rename changed names of fields that upgrade's schema check digests, though not the bytes: postcard writes no names. upgrade::tests::the_shape_of_what_is_said_belongs_to_this_schema failed from the rename on. The names are kept by serde(rename), the check is as it was.

--- a/src/fleet/member/identity.rs
+++ b/src/fleet/member/identity.rs
@@ -7,10 +7,13 @@
 use std::time::Duration;
 
 /// What one process of a member gives to the one that takes its place: the same generation, with all its promises.
+/// Serialized names stay as they were introduced: `upgrade::frame::SCHEMA` is checked by them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Identity {
     name: String,
+    #[serde(rename = "life")]
     generation: Generation,
+    #[serde(rename = "claim")]
     incarnation: u32,
     dead: ViewId,
     view: ViewId,
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -1,6 +1,8 @@
 //! How a view is decided. A view is numbered, and the next one is chosen by most of its members: one decision of Paxos
 //! a number, with the members of the view before as acceptors. What an acceptor has promised it keeps in memory alone,
 //! which is enough: a process that starts again is another generation, and is in no view before one has taken it in.
+//!
+//! Serialized names stay as they were introduced: the schema of an upgrade (`upgrade::frame::SCHEMA`) is checked by them.
 
 use super::update::Generation;
 use serde::{Deserialize, Serialize};
@@ -14,6 +16,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct ViewId {
     /// When and by whom the fleet was bootstrapped; 0: not yet.
+    #[serde(rename = "founded")]
     pub bootstrap: u64,
     /// Counts the views from there.
     pub number: u64,
@@ -35,6 +38,7 @@
     /// Its name.
     pub name: String,
     /// Its generation.
+    #[serde(rename = "life")]
     pub generation: Generation,
     /// Where it receives datagrams.
     pub address: SocketAddr,
@@ -44,8 +48,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ViewEntry {
     /// It is in the view.
+    #[serde(rename = "There")]
     Member(ViewMember),
     /// It was in an earlier one.
+    #[serde(rename = "Over")]
     Ended(String, Generation),
 }
 
@@ -62,6 +68,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Change {
     /// Where it is the first of a fleet: when that was bootstrapped.
+    #[serde(rename = "founded")]
     pub bootstrap: Option<u64>,
     /// Members that come, or come again in another generation.
     pub joins: Vec<ViewMember>,
