Documents of live configuration: read, checked, hashed, laid over settings; deltas

Needed so that operators can change figures while initiators run, and planners and initiators agree on what a revision says.

A document is read from TOML key by key, so that each error is one line that names its key; keys that only a restart changes say so. The canonical encoding is postcard of the document with one form for 0 and for what is no number. A class of a name that is there twice (the second front adds such) changes twice. Figures that contradict the resulting settings are refused where the document has changed one of them: an aim above the deadline, a burst below the largest request, a mean above it, a wait where the settings let none be said.

--- a/src/revisions/delta.rs
+++ b/src/revisions/delta.rs
@@ -23,12 +23,48 @@
 
 impl Delta {
     /// What leads from one document to the other: `Delta::between(a, b).apply(a) == b`.
-    pub fn between(_older: &Document, _newer: &Document) -> Delta {
-        todo!()
+    pub fn between(older: &Document, newer: &Document) -> Delta {
+        Delta {
+            classes: changed(&older.classes, &newer.classes),
+            plans: changed(&older.plans, &newer.plans),
+            costs: (older.costs != newer.costs).then_some(newer.costs),
+            limits: (older.limits != newer.limits).then_some(newer.limits),
+            nodes_added: newer.nodes_out.difference(&older.nodes_out).cloned().collect(),
+            nodes_removed: older.nodes_out.difference(&newer.nodes_out).cloned().collect(),
+        }
     }
 
     /// The document with these changes made.
-    pub fn apply(&self, _older: &Document) -> Document {
-        todo!()
+    pub fn apply(&self, older: &Document) -> Document {
+        let mut document = older.clone();
+        change(&mut document.classes, &self.classes);
+        change(&mut document.plans, &self.plans);
+        document.costs = self.costs.unwrap_or(document.costs);
+        document.limits = self.limits.unwrap_or(document.limits);
+        document.nodes_out.retain(|name| !self.nodes_removed.contains(name));
+        document.nodes_out.extend(self.nodes_added.iter().cloned());
+        document
     }
 }
+
+/// Entries that differ; none where the newer map has no entry.
+fn changed<F: Copy + PartialEq>(
+    older: &BTreeMap<String, F>,
+    newer: &BTreeMap<String, F>,
+) -> BTreeMap<String, Option<F>> {
+    let names = older.keys().chain(newer.keys());
+    let differs = names.filter(|name| older.get(*name) != newer.get(*name));
+    differs.map(|name| (name.clone(), newer.get(name).copied())).collect()
+}
+
+fn change<F: Copy>(figures: &mut BTreeMap<String, F>, changes: &BTreeMap<String, Option<F>>) {
+    for (name, change) in changes {
+        match change {
+            Some(change) => figures.insert(name.clone(), *change),
+            None => figures.remove(name),
+        };
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/revisions/document/tests.rs
@@ -0,0 +1,371 @@
+use super::*;
+use crate::interface::{Class, Effect, Limit, Limits, Plan, Units};
+use proptest::prelude::*;
+use std::time::Duration;
+
+/// Figures in range, with those that are easily written in more than one way.
+fn figure(least: f64, most: f64) -> impl Strategy<Value = Option<f64>> {
+    prop::option::of(prop_oneof![Just(least), Just(most), least..most])
+}
+
+fn class() -> impl Strategy<Value = ClassFigures> {
+    (figure(0.001, 1e6), figure(1e-9, 1e12), figure(0.0, 1.0))
+        .prop_map(|(aim_ms, worth, late_worth)| ClassFigures { aim_ms, worth, late_worth })
+}
+
+fn plan() -> impl Strategy<Value = PlanFigures> {
+    let not_negative = || figure(0.0, 1e12);
+    let above_zero = || figure(1e-9, 1e12);
+    let rates = (not_negative(), not_negative(), not_negative(), not_negative(), not_negative());
+    (rates, above_zero(), above_zero()).prop_map(|(rates, parts, value_factor)| PlanFigures {
+        base_rate: rates.0,
+        ceiling_rate: rates.1,
+        limit_burst: rates.2,
+        tolerance: rates.3,
+        guaranteed: rates.4,
+        parts,
+        value_factor,
+    })
+}
+
+fn costs() -> impl Strategy<Value = CostFigures> {
+    let above_zero = || figure(1e-9, 1e12);
+    (figure(0.0, 1e12), figure(1e-9, 1.0), above_zero(), above_zero(), figure(0.0, 1e12)).prop_map(|it| {
+        CostFigures { idle_worth: it.0, share_worth: it.1, largest: it.2, unit_mean: it.3, young_limit: it.4 }
+    })
+}
+
+fn limits() -> impl Strategy<Value = LimitFigures> {
+    let attempts = prop::option::of(1u32..=100);
+    (attempts, figure(0.0, 1e6), prop::option::of(any::<bool>())).prop_map(|it| LimitFigures {
+        attempts_cap: it.0,
+        max_retry_after_ms: it.1,
+        may_cancel: it.2,
+    })
+}
+
+fn name() -> impl Strategy<Value = String> {
+    prop_oneof!["[a-c]", "[a-c. \"\\\\é\n=\\[\\]']{1,6}"]
+}
+
+/// Any document that is accepted; names are few, so that two of them often have some in common.
+pub(in crate::revisions) fn any_document() -> impl Strategy<Value = Document> {
+    let classes = prop::collection::btree_map(name(), class(), 0..4);
+    let plans = prop::collection::btree_map(name(), plan(), 0..4);
+    let nodes_out = prop::collection::btree_set(name(), 0..4);
+    (classes, plans, costs(), limits(), nodes_out).prop_map(|(classes, plans, costs, limits, nodes_out)| {
+        Document { classes, plans, costs, limits, nodes_out }
+    })
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_is_read_again(document in any_document()) {
+        prop_assert_eq!(document.check(), Ok(()));
+        let text = document.to_toml();
+        let read = Document::parse(&text).map_err(|why| TestCaseError::fail(format!("{why}\n{text}")))?;
+        prop_assert_eq!(&read, &document);
+        prop_assert_eq!(read.hash(), document.hash());
+        prop_assert_eq!(read.encode(), document.encode());
+        let taken: Document = postcard::from_bytes(&document.encode()).unwrap();
+        prop_assert_eq!(&taken, &document);
+    }
+
+    #[test]
+    fn documents_are_equal_where_their_encodings_are(one in any_document(), other in any_document()) {
+        prop_assert_eq!(one == other, one.encode() == other.encode());
+        prop_assert_eq!(one == other, one.hash() == other.hash());
+    }
+
+    #[test]
+    fn any_bytes_are_read_or_refused_in_one_line(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let text = String::from_utf8_lossy(&bytes);
+        if let Err(why) = Document::parse(&text) {
+            prop_assert!(is_one_line(&why), "{why:?}");
+        }
+    }
+
+    /// Texts that are nearly documents get further than any bytes.
+    #[test]
+    fn any_piece_of_a_document_is_read_or_refused_in_one_line(
+        document in any_document(),
+        at in any::<prop::sample::Index>(),
+        put in "[\\[\\]{}=.\"'\n0-9a-z\\-]{0,6}",
+    ) {
+        let text = document.to_toml();
+        let places: Vec<usize> = text.char_indices().map(|(place, _)| place).chain([text.len()]).collect();
+        let (start, end) = text.split_at(places[at.index(places.len())]);
+        if let Err(why) = Document::parse(&format!("{start}{put}{end}")) {
+            prop_assert!(is_one_line(&why), "{why:?}");
+        }
+    }
+
+    /// What passes its check is refused or gives settings that the scheduler works by.
+    #[test]
+    fn what_is_applied_keeps_what_is_fixed(document in any_document()) {
+        let names = Names { classes: vec!["a".into(), "b".into()], plans: vec!["a".into(), "c".into()] };
+        match document.apply(&settings(), &names) {
+            Err(why) => prop_assert!(is_one_line(&why), "{why:?}"),
+            Ok(new) => {
+                let mut scheduler = crate::Scheduler::new(settings(), 1);
+                prop_assert!(scheduler.reconfigure(Duration::from_secs(1), new).is_ok());
+            }
+        }
+    }
+}
+
+fn is_one_line(why: &DocumentError) -> bool {
+    let text = why.to_string();
+    !text.is_empty() && text.lines().count() == 1 && text.chars().count() <= LONGEST_ERROR
+}
+
+fn settings() -> Settings {
+    let class = |worth| Class {
+        aim: Duration::from_millis(300),
+        deadline: Duration::from_secs(2),
+        worth,
+        late_worth: 0.2,
+        effect: Effect::Safe,
+        window: Duration::ZERO,
+        in_order: false,
+    };
+    let plan = |limit| Plan { reserve: 5.0, limit, weight: 1.0, price: 1.0 };
+    Settings {
+        hosts: 2,
+        tick: Duration::from_millis(2),
+        classes: vec![class(1.0), class(4.0)],
+        plans: vec![plan(None), plan(Some(Limit { rate: 20.0, burst: 32.0, slack: 4.0 }))],
+        units: Units {
+            mean: 2.0,
+            largest: 8.0,
+            share_worth: 0.4,
+            spare_worth: 0.1,
+            cold_units: 30.0,
+            meter: Duration::from_secs(60),
+            base_rates: vec![10.0],
+        },
+        limits: Limits {
+            max_attempts: 4,
+            connect_timeout: Duration::from_millis(100),
+            max_retry_after: Duration::from_millis(500),
+            cancel: true,
+            most_held: Some(77),
+        },
+        ..Settings::default()
+    }
+}
+
+fn names() -> Names {
+    Names { classes: vec!["bulk".into(), "quick".into()], plans: vec!["free".into(), "gold".into()] }
+}
+
+#[test]
+fn figures_are_in_place_of_those_of_the_settings_and_all_others_stand() {
+    let text = r#"
+        nodes_out = ["s-3"]
+        [classes.quick]
+        aim_ms = 150
+        worth = 6
+        late_worth = 0.5
+        [plans.free]
+        ceiling_rate = 40
+        limit_burst = 16
+        tolerance = 2
+        [plans.gold]
+        base_rate = 12.5
+        ceiling_rate = 25
+        guaranteed = 7
+        parts = 2
+        value_factor = 3
+        [costs]
+        idle_worth = 0.05
+        share_worth = 0.3
+        largest = 9
+        unit_mean = 3
+        young_limit = 20
+        [limits]
+        attempts_cap = 2
+        max_retry_after_ms = 250
+        may_cancel = false
+    "#;
+    let document = Document::parse(text).unwrap();
+    let mut wanted = settings();
+    wanted.classes[1].aim = Duration::from_millis(150);
+    (wanted.classes[1].worth, wanted.classes[1].late_worth) = (6.0, 0.5);
+    wanted.plans[0].limit = Some(Limit { rate: 40.0, burst: 16.0, slack: 2.0 });
+    let limit = Some(Limit { rate: 25.0, burst: 32.0, slack: 4.0 });
+    wanted.plans[1] = Plan { reserve: 7.0, limit, weight: 2.0, price: 3.0 };
+    wanted.units = Units {
+        mean: 3.0,
+        largest: 9.0,
+        share_worth: 0.3,
+        spare_worth: 0.05,
+        cold_units: 20.0,
+        meter: Duration::from_secs(60),
+        base_rates: vec![10.0, 12.5],
+    };
+    wanted.limits.max_attempts = 2;
+    wanted.limits.max_retry_after = Duration::from_millis(250);
+    wanted.limits.cancel = false;
+    assert_eq!(document.apply(&settings(), &names()), Ok(wanted));
+    assert_eq!(Document::default().apply(&settings(), &names()), Ok(settings()));
+}
+
+#[test]
+fn a_rate_of_zero_takes_a_limit_away() {
+    let none = Document::parse("[plans.gold]\nceiling_rate = 0").unwrap();
+    assert_eq!(none.apply(&settings(), &names()).unwrap().plans[1].limit, None);
+}
+
+/// The second front adds such a class for writes to storage that drops no repeats.
+#[test]
+fn a_class_that_is_there_twice_changes_twice() {
+    let mut base = settings();
+    base.classes.push(Class { effect: Effect::Unsafe, ..base.classes[1].clone() });
+    let mut names = names();
+    names.classes.push("quick".into());
+    let document = Document::parse("[classes.quick]\nworth = 3").unwrap();
+    let worths = |settings: Settings| settings.classes.iter().map(|it| it.worth).collect::<Vec<_>>();
+    assert_eq!(worths(document.apply(&base, &names).unwrap()), [1.0, 3.0, 3.0]);
+}
+
+/// What the settings say stays usable, whatever it is; only a change is measured by the rest.
+#[test]
+fn what_the_settings_state_themselves_is_not_refused() {
+    let mut base = settings();
+    base.units.largest = 40.0;
+    base.units.mean = 50.0;
+    let other = Document::parse("[classes.quick]\nworth = 3").unwrap();
+    assert!(other.apply(&base, &names()).is_ok());
+    let same_burst = Document::parse("[plans.gold]\nlimit_burst = 33").unwrap();
+    assert!(same_burst.apply(&base, &names()).is_err());
+}
+
+/// What a text is refused for, in one line.
+fn refused(text: &str) -> String {
+    let why = Document::parse(text).and_then(|document| document.apply(&settings(), &names()));
+    let why = why.expect_err(text);
+    assert!(is_one_line(&why), "{why:?}");
+    why.to_string()
+}
+
+#[test]
+fn each_refusal_names_its_key_in_one_line() {
+    let cases = [
+        ("[classes.bulk]\naim_ms = 2500", "classes.bulk.aim_ms is 2500: at most the class's deadline, 2000 ms, is allowed"),
+        ("[classes.bulk]\naim_ms = 0", "classes.bulk.aim_ms is 0: 0.001 to 86400000 is allowed"),
+        ("[classes.bulk]\nworth = 0", "classes.bulk.worth is 0: above 0, 1e-9 to 1e12, is allowed"),
+        ("[classes.bulk]\nworth = nan", "classes.bulk.worth is NaN: above 0, 1e-9 to 1e12, is allowed"),
+        ("[classes.bulk]\nlate_worth = 1.5", "classes.bulk.late_worth is 1.5: 0 to 1 is allowed"),
+        ("[classes.\"a.b\"]\nlate_worth = -inf", "classes.\"a.b\".late_worth is -inf: 0 to 1 is allowed"),
+        ("[classes.bulk]\nworth = \"much\"", "classes.bulk.worth: invalid type: string \"much\", expected f64"),
+        ("[classes.bulk]\neffect = \"read_like\"", "classes.bulk.effect can't change while running"),
+        ("[classes.bulk]\nname = \"x\"", "classes.bulk.name can't change while running"),
+        ("[classes.bulk]\nhard_limit_ms = 5", "classes.bulk.hard_limit_ms can't change while running"),
+        ("[classes.bulk]\nkey_scope = \"zone\"", "classes.bulk.key_scope can't change while running"),
+        ("[classes.bulk]\nwindow_ms = 5", "classes.bulk.window_ms can't change while running"),
+        ("[classes.bulk]\none_at_a_time = true", "classes.bulk.one_at_a_time can't change while running"),
+        ("[classes.bulk]\nbaim = 5", "classes.bulk.baim is not known: aim_ms, worth, late_worth are"),
+        ("[classes]\nbulk = 5", "classes.bulk: a integer, a table is wanted"),
+        ("classes = 5", "classes: a integer, a table is wanted"),
+        ("[classes.none]\nworth = 5", "the settings have no class \"none\""),
+        ("[plans.none]\nparts = 5", "the settings have no plan \"none\""),
+        ("[plans.gold]\nparts = 0", "plans.gold.parts is 0: above 0, 1e-9 to 1e12, is allowed"),
+        ("[plans.gold]\nbase_rate = -1", "plans.gold.base_rate is -1: 0 to 1e12 is allowed"),
+        ("[plans.gold]\nceiling_rate = 1e13", "plans.gold.ceiling_rate is 10000000000000: 0 to 1e12 is allowed"),
+        ("[plans.gold]\nlimit_burst = 7.5", "plans.gold.limit_burst is 7.5: at least costs.largest, 8, is needed"),
+        ("[plans.free]\nceiling_rate = 5", "plans.free.limit_burst is 0: at least costs.largest, 8, is needed"),
+        ("[costs]\nlargest = 33", "plans.gold.limit_burst is 32: at least costs.largest, 33, is needed"),
+        ("[plans.free]\ntolerance = 5", "plans.free: the plan has no limit, and limit_burst and tolerance are nothing without ceiling_rate"),
+        ("[costs]\nunit_mean = 9", "costs.unit_mean is 9: at most costs.largest, 8, is allowed"),
+        ("[costs]\nshare_worth = 1.25", "costs.share_worth is 1.25: above 0, 1e-9 to 1, is allowed"),
+        ("[costs]\nmetering_ms = 9", "costs.metering_ms can't change while running"),
+        ("[limits]\nattempts_cap = 0", "limits.attempts_cap is 0: 1 to 100 is allowed"),
+        ("[limits]\nattempts_cap = 101", "limits.attempts_cap is 101: 1 to 100 is allowed"),
+        ("[limits]\nmax_retry_after_ms = -1", "limits.max_retry_after_ms is -1: 0 to 86400000 is allowed"),
+        ("[limits]\nconnect_timeout_ms = 9", "limits.connect_timeout_ms can't change while running"),
+        ("siblings = 3", "siblings can't change while running"),
+        ("tick_ms = 3", "tick_ms can't change while running"),
+        ("listen = \"\"", "listen can't change while running"),
+        ("discovery = \"pushed\"", "discovery can't change while running"),
+        ("[contract]\nfall_ms = 1", "contract can't change while running"),
+        ("bed = 3", "bed is not known: classes, plans, costs, limits, nodes_out are"),
+        ("nodes_out = 3", "nodes_out: invalid type: integer `3`, expected a sequence"),
+        ("nodes_out = [\"\"]", "nodes_out: a name of 0 bytes (\"\"): 1 to 200"),
+        ("[classes.bulk]\nworth = 1\nworth = 2", "line 3: duplicate key"),
+    ];
+    for (text, why) in cases {
+        assert_eq!(refused(text), why, "{text}");
+    }
+}
+
+#[test]
+fn nobody_is_asked_to_wait_where_the_settings_let_none_be_asked() {
+    let mut base = settings();
+    base.limits.max_retry_after = Duration::ZERO;
+    let document = |ms: f64| Document {
+        limits: LimitFigures { max_retry_after_ms: Some(ms), ..Default::default() },
+        ..Document::default()
+    };
+    let why = document(5.0).apply(&base, &names()).unwrap_err().to_string();
+    assert!(why.starts_with("limits.max_retry_after_ms is 5: the settings let no client"), "{why}");
+    assert!(document(0.0).apply(&base, &names()).is_ok());
+}
+
+#[test]
+fn what_is_too_long_is_refused() {
+    let long = "x".repeat(LONGEST_NAME + 1);
+    let why = refused(&format!("nodes_out = [\"{long}\"]"));
+    assert_eq!(why, "nodes_out: a name of 201 bytes (\"xxxxxxxxxxxxxxxxxxxx\"): 1 to 200");
+    let many = |count: usize, length: usize| Document {
+        nodes_out: (0..count).map(|at| format!("{at:0length$}")).collect(),
+        ..Document::default()
+    };
+    assert_eq!(many(MOST_NODES_OUT, 8).check(), Ok(()));
+    let why = many(MOST_NODES_OUT + 1, 8).check().unwrap_err().to_string();
+    assert_eq!(why, "nodes_out: 1025 names: at most 1024");
+    let why = many(MOST_NODES_OUT, 100).check().unwrap_err().to_string();
+    assert!(why.starts_with("a document of ") && why.ends_with("at most 65536 are allowed"), "{why}");
+    let why = refused(&" ".repeat(LONGEST_TEXT + 1));
+    assert_eq!(why, "a text of 1048577 bytes: at most 1048576 are allowed");
+    assert!(is_one_line(&Document::parse(&"[".repeat(100_000)).unwrap_err()));
+}
+
+#[test]
+fn a_figure_has_one_encoding() {
+    let document = |share| Document {
+        costs: CostFigures { idle_worth: Some(share), ..Default::default() },
+        ..Document::default()
+    };
+    assert_eq!(document(0.0).encode(), document(-0.0).encode());
+    assert_eq!(document(f64::NAN).encode(), document(f64::from_bits(0x7ff8_0000_0000_0001)).encode());
+    assert_eq!(
+        Document::parse("[costs]\nidle_worth = -0.0").unwrap().costs.idle_worth.map(f64::to_bits),
+        Some(0)
+    );
+    assert!(document(f64::NAN).check().is_err() && document(f64::INFINITY).check().is_err());
+    assert_ne!(document(0.0).hash(), Document::default().hash());
+}
+
+/// Planners and initiators of several versions agree on hashes: the encoding is part of what they say to each other.
+#[test]
+fn the_encoding_is_what_it_always_was() {
+    let document = Document::parse("nodes_out = [\"s-1\"]\n[classes.quick]\nworth = 2").unwrap();
+    let class = [&[1, 5], &b"quick"[..], &[0, 1], &2f64.to_le_bytes(), &[0]].concat();
+    let wanted = [&class[..], &[0], &[0; 5], &[0; 3], &[1, 3], b"s-1"].concat();
+    assert_eq!(document.encode(), wanted);
+    // SHA-256 of eleven zeros, by another program.
+    let empty = "71b6c1d53832f789a7f2435a7c629245fa3761ad8487775ebf4957330213a706";
+    assert_eq!(Document::default().encode(), [0; 11]);
+    assert_eq!(Document::default().hash().to_string(), empty);
+}
+
+/// A document that comes by another way than its text is checked as well.
+#[test]
+fn what_is_out_of_range_is_not_applied() {
+    for worth in [f64::NAN, 0.0, f64::INFINITY] {
+        let class = ClassFigures { worth: Some(worth), ..ClassFigures::default() };
+        let document = Document { classes: BTreeMap::from([("bulk".into(), class)]), ..Document::default() };
+        assert!(document.apply(&settings(), &names()).is_err(), "{worth}");
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -184,16 +184,21 @@
 }
 
 fn plan(level: &Level) -> Plan {
-    let limit = Limit { rate: level.ceiling_rate, burst: level.limit_burst, slack: level.tolerance };
     Plan {
         reserve: level.guaranteed,
-        limit: (level.ceiling_rate > 0.0).then_some(limit),
+        limit: limit(level.ceiling_rate, level.limit_burst, level.tolerance),
         weight: level.parts,
         price: level.value_factor,
     }
 }
 
+/// The limit of a plan with these figures; a rate of 0 means none.
+pub(crate) fn limit(ceiling_rate: f64, limit_burst: f64, tolerance: f64) -> Option<Limit> {
+    let limit = Limit { rate: ceiling_rate, burst: limit_burst, slack: tolerance };
+    (ceiling_rate > 0.0).then_some(limit)
+}
+
 /// A span that the settings state in milliseconds.
-fn millis(span: f64) -> Result<Duration, String> {
+pub(crate) fn millis(span: f64) -> Result<Duration, String> {
     Duration::try_from_secs_f64(span / 1000.0).map_err(|_| format!("{span} ms is no span"))
 }
