Scheduler::reconfigure: changed figures are taken over between two calls, whole

What came into a limit's store up to then came at the old rate; a lowered burst caps at once; a new limit begins as that of a new volume. A cold node's store keeps its place in time, as hosts take a change over together and none may send because of it. Past performance is measured by the new aim, and the level keeps its distance from the top. Held requests beyond a lowered number of attempts are answered at the next call. Settings that differ in what is fixed are refused, and nothing changes.

--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -9,6 +9,7 @@
 use crate::clock::Clock;
 use crate::interface::{Action, Event, Settings};
 use crate::rules::carry::Carried;
+use crate::rules::reconfigure::FixedSettings;
 use crate::Scheduler;
 use std::time::Instant;
 
@@ -31,6 +32,15 @@
         actions
     }
 
+    /// Decides by changed settings from now on.
+    ///
+    /// # Errors
+    ///
+    /// They differ in what can't change while running. Nothing has changed then.
+    pub fn reconfigure(&mut self, now: Instant, settings: Settings) -> Result<(), FixedSettings> {
+        self.scheduler.reconfigure(self.clock.unix(now), settings)
+    }
+
     /// Gives what it has learned to the process that takes the place of this one.
     pub fn hand_over(&mut self, now: Instant) -> Carried {
         self.scheduler.hand_over(self.clock.unix(now))
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,6 +2,7 @@
 //! rule guards, health. Types are in `src/interface.rs`; docs/design.md says what was kept and changed.
 
 pub mod carry;
+pub mod reconfigure;
 
 use crate::interface::*;
 use crate::quantity::{Fading, Store};
--- /dev/null
+++ b/src/rules/reconfigure.rs
@@ -0,0 +1,136 @@
+//! Takes over changed figures between two calls of [`Scheduler::handle`], whole. What was learned and what is open goes on.
+
+use super::*;
+use std::fmt;
+
+/// Settings that differ from those in force in more than may change while a scheduler lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FixedSettings;
+
+impl fmt::Display for FixedSettings {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str("the settings differ in what can't change while running")
+    }
+}
+
+impl std::error::Error for FixedSettings {}
+
+impl Scheduler {
+    /// Works by these settings from `now` on. What came into stores up to then came at the old rates.
+    ///
+    /// # Errors
+    ///
+    /// They differ in more than a class's aim, worth and late worth, plans' figures, how units count (but for the
+    /// period of reported use), attempts, the wait that clients are asked for, and whether attempts are withdrawn.
+    /// Nothing has changed then.
+    pub fn reconfigure(&mut self, now: Duration, settings: Settings) -> Result<(), FixedSettings> {
+        if !keeps_what_is_fixed(&self.settings, &settings) {
+            return Err(FixedSettings);
+        }
+        let now = now.max(self.now);
+        self.change_limits(now, &settings);
+        self.change_cold(now, &settings);
+        self.change_aims(&settings);
+        self.change_level(&settings);
+        self.settings = settings;
+        self.look = look(&self.settings);
+        self.volumes.values().for_each(|volume| volume.reckoned.set(None));
+        self.end_beyond_attempts(now);
+        Ok(())
+    }
+
+    /// A lowered burst caps at once. A limit that is new for a plan begins as that of a new volume.
+    fn change_limits(&mut self, now: Duration, settings: &Settings) {
+        for (id, volume) in &mut self.volumes {
+            let (terms, share) = (volume.terms, self.shares.get(id));
+            let before = limit_part(&self.settings, terms, share);
+            match (before, limit_part(settings, terms, share)) {
+                (Some(before), Some(after)) if before == after => {}
+                (Some((rate, burst)), after) => {
+                    volume.limit.fill(now, rate, burst);
+                    volume.limit.level = volume.limit.level.min(after.map_or(0.0, |(_, burst)| burst));
+                }
+                (None, _) => {
+                    let fresh = Volume::new(settings.plans.get(terms.0), terms.1, now, volume.place);
+                    volume.limit = fresh.limit;
+                }
+            }
+        }
+    }
+
+    /// What a cold node was paid so far keeps its place in time: hosts take over a change together, and none may send
+    /// because of it.
+    fn change_cold(&mut self, now: Duration, settings: &Settings) {
+        if self.settings.units.cold_units == settings.units.cold_units {
+            return;
+        }
+        let rates: Vec<_> = self.nodes.iter().map(|(id, node)| (*id, self.cold_rate(node))).collect();
+        for (id, rate) in rates {
+            if let Some(node) = self.nodes.get_mut(&id) {
+                node.cold.fill(now, rate, f64::INFINITY);
+            }
+        }
+    }
+
+    /// Past performance is measured against the aim that is now in force.
+    fn change_aims(&mut self, settings: &Settings) {
+        let aims = self.settings.classes.iter().zip(&settings.classes);
+        for (control, (old, new)) in self.classes.iter_mut().zip(aims).filter(|(_, (a, b))| a.aim != b.aim) {
+            let ratio = new.aim.div_duration_f64(old.aim);
+            control.history.iter_mut().for_each(|(performance, _)| *performance *= ratio);
+        }
+    }
+
+    /// The level keeps its distance from the top: what is worth least is let through as deep as before.
+    fn change_level(&mut self, settings: &Settings) {
+        let (old, new) = (top_level(&self.settings), top_level(settings));
+        if old != new {
+            let below_top = (self.level - old).min(0.0);
+            self.level = (new + below_top).clamp(LEAST_LEVEL, new.max(LEAST_LEVEL));
+        }
+    }
+
+    /// Held requests that may have no further attempt now are answered at the next call, not at their deadline.
+    fn end_beyond_attempts(&mut self, now: Duration) {
+        let most = self.settings.limits.max_attempts;
+        for id in self.held.values().flatten() {
+            let request = self.requests.get_mut(id).filter(|request| request.attempts >= most);
+            request.into_iter().for_each(|request| request.new.deadline = request.new.deadline.min(now));
+        }
+    }
+}
+
+/// Held requests are looked at again this often, and at each tick at the most.
+fn look(settings: &Settings) -> Duration {
+    tightest_aim(settings).div_f64(LOOKS_PER_AIM).max(settings.tick)
+}
+
+/// Whether two settings differ only in what may change.
+fn keeps_what_is_fixed(old: &Settings, new: &Settings) -> bool {
+    if old.classes.len() != new.classes.len() || old.plans.len() != new.plans.len() {
+        return false;
+    }
+    let class = |(old, new): (&Class, &Class)| Class {
+        aim: old.aim,
+        worth: old.worth,
+        late_worth: old.late_worth,
+        ..new.clone()
+    };
+    let limits = &old.limits;
+    let fixed = Settings {
+        classes: old.classes.iter().zip(&new.classes).map(class).collect(),
+        plans: old.plans.clone(),
+        units: Units { meter: new.units.meter, ..old.units.clone() },
+        limits: Limits {
+            max_attempts: limits.max_attempts,
+            max_retry_after: limits.max_retry_after,
+            cancel: limits.cancel,
+            ..new.limits.clone()
+        },
+        ..new.clone()
+    };
+    fixed == *old
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/rules/reconfigure/tests.rs
@@ -0,0 +1,418 @@
+use super::*;
+use proptest::prelude::*;
+
+const START: Duration = Duration::from_secs(1000);
+const STEP: Duration = Duration::from_millis(50);
+const DEADLINE: Duration = Duration::from_secs(4);
+
+fn settings() -> Settings {
+    let class = |worth| Class {
+        aim: Duration::from_millis(400),
+        deadline: DEADLINE,
+        worth,
+        late_worth: 0.2,
+        effect: Effect::Safe,
+        window: Duration::ZERO,
+        in_order: false,
+    };
+    let plan = |limit| Plan { reserve: 5.0, limit, weight: 1.0, price: 1.0 };
+    Settings {
+        hosts: 1,
+        tick: Duration::from_millis(2),
+        classes: vec![class(1.0), class(4.0)],
+        plans: vec![plan(Some(limit(20.0, 32.0, 4.0))), plan(None)],
+        units: Units {
+            mean: 2.0,
+            largest: 8.0,
+            share_worth: 0.4,
+            spare_worth: 0.1,
+            cold_units: 30.0,
+            base_rates: vec![10.0, 10.0],
+            ..Units::default()
+        },
+        rules: Rules {
+            drain_grace: Duration::from_secs(2),
+            cold_share: 0.16,
+            cold: Duration::from_secs(18),
+            fall_multiple: 3.0,
+            fall: Duration::from_secs(3),
+            ..Rules::default()
+        },
+        limits: Limits { max_attempts: 4, max_retry_after: Duration::from_millis(300), ..Limits::default() },
+        ..Settings::default()
+    }
+}
+
+fn limit(rate: f64, burst: f64, slack: f64) -> Limit {
+    Limit { rate, burst, slack }
+}
+
+fn with_limit(limit: Option<Limit>) -> Settings {
+    let mut settings = settings();
+    settings.plans[0].limit = limit;
+    settings
+}
+
+fn list(started: Option<Duration>) -> Event {
+    let node = NodeEntry { node: NodeId(1), started, ..NodeEntry::default() };
+    Event::List { kind: ListKind::Full, entries: vec![node] }
+}
+
+fn request(id: u64, now: Duration, units: f64) -> NewRequest {
+    NewRequest {
+        id: RequestId(id),
+        volume: VolumeId(7),
+        volume_hosts: 1.0,
+        deadline: now + DEADLINE,
+        units,
+        shard: Some(0),
+        ..Default::default()
+    }
+}
+
+fn end(id: RequestId, node: NodeId, outcome: Outcome) -> AttemptEnd {
+    let finished = outcome == Outcome::Served;
+    let latency = Duration::from_millis(20);
+    AttemptEnd { id, attempt: 0, node, outcome, finished, latency, used: None, elsewhere: 0.0 }
+}
+
+/// A scheduler whose attempts are answered at the next step, and what became of its requests.
+struct Host {
+    scheduler: Scheduler,
+    asked: u64,
+    units: BTreeMap<RequestId, f64>,
+    sent: Vec<(Duration, f64)>,
+    out: Vec<AttemptEnd>,
+    /// Final answers by request, whether served or not.
+    answers: BTreeMap<RequestId, usize>,
+    all_actions: Vec<Action>,
+}
+
+impl Host {
+    fn new(settings: Settings) -> Self {
+        let mut host = Host {
+            scheduler: Scheduler::new(settings, 1),
+            asked: 0,
+            units: BTreeMap::new(),
+            sent: Vec::new(),
+            out: Vec::new(),
+            answers: BTreeMap::new(),
+            all_actions: Vec::new(),
+        };
+        host.scheduler.handle(START, &[list(None)], &mut Vec::new());
+        host
+    }
+
+    fn step(&mut self, now: Duration, asks: &[u8]) {
+        let ended = std::mem::take(&mut self.out);
+        ended.iter().for_each(|end| *self.answers.entry(end.id).or_default() += 1);
+        let mut events: Vec<Event> = ended.into_iter().map(Event::AttemptEnded).collect();
+        for units in asks {
+            self.asked += 1;
+            self.units.insert(RequestId(self.asked), f64::from(*units));
+            events.push(Event::Request(request(self.asked, now, f64::from(*units))));
+        }
+        let mut actions = Vec::new();
+        self.scheduler.handle(now, &events, &mut actions);
+        for action in &actions {
+            match action {
+                Action::Send { id, node, .. } => {
+                    self.sent.push((now, self.units[id]));
+                    self.out.push(end(*id, *node, Outcome::Served));
+                }
+                Action::Refuse { id, .. } | Action::Fail { id } => *self.answers.entry(*id).or_default() += 1,
+                _ => {}
+            }
+        }
+        self.all_actions.extend(actions);
+    }
+}
+
+/// What a limit lets through at most, as changes of it say.
+struct Bound {
+    limit: Option<Limit>,
+    level: f64,
+    at: Duration,
+}
+
+impl Bound {
+    fn fill(&mut self, now: Duration) {
+        if let Some(limit) = self.limit {
+            self.level = (self.level + limit.rate * (now - self.at).as_secs_f64()).min(limit.burst);
+        }
+        self.at = now;
+    }
+
+    fn change(&mut self, now: Duration, new: Option<Limit>) {
+        self.fill(now);
+        self.level = match (self.limit, new) {
+            (Some(_), Some(new)) => self.level.min(new.burst),
+            (_, new) => new.map_or(0.0, |new| new.slack.min(new.burst)),
+        };
+        self.limit = new;
+    }
+}
+
+fn any_limit() -> impl Strategy<Value = Option<Limit>> {
+    let stated = (1.0..60.0f64, 8.0..64.0f64, 0.0..8.0f64);
+    prop_oneof![3 => stated.prop_map(|(rate, burst, slack)| Some(limit(rate, burst, slack))), 1 => Just(None)]
+}
+
+proptest! {
+    /// Each request has one final answer, and a limit bounds what is sent: by its old figures before a change, by the new
+    /// ones from then on. A change comes between two steps, at any time.
+    #[test]
+    fn a_changed_limit_is_kept_and_nothing_is_lost(
+        asks in prop::collection::vec(prop::collection::vec(1u8..9, 0..3), 200),
+        changes in prop::collection::btree_map(0usize..200, (any_limit(), 0u32..50), 0..8),
+        first in any_limit(),
+    ) {
+        let mut host = Host::new(with_limit(first));
+        let level = first.map_or(0.0, |limit| limit.slack.min(limit.burst));
+        let mut bound = Bound { limit: first, level, at: START };
+        let mut now = START;
+        let mut looked_at = 0;
+        // At the end all that still waits is answered within its deadline.
+        let rest = DEADLINE.div_duration_f64(STEP) as usize + 2;
+        for (at, asks) in asks.iter().chain(std::iter::repeat_n(&Vec::new(), rest)).enumerate() {
+            now = START + STEP * at as u32;
+            // Until the first request there is no volume, and nothing fills.
+            if host.asked == 0 {
+                (bound.at, bound.level) = (now, bound.limit.map_or(0.0, |limit| limit.slack.min(limit.burst)));
+            }
+            host.step(now, asks);
+            for (at, units) in &host.sent[looked_at..] {
+                bound.fill(*at);
+                bound.level -= units;
+                prop_assert!(bound.limit.is_none() || bound.level > -1e-6, "{} at {at:?}", bound.level);
+            }
+            looked_at = host.sent.len();
+            if let Some((new, after_ms)) = changes.get(&at) {
+                let at = now + Duration::from_millis((*after_ms).into());
+                host.scheduler.reconfigure(at, with_limit(*new)).unwrap();
+                bound.change(at, *new);
+            }
+        }
+        prop_assert!(now > START);
+        let unanswered = (1..=host.asked).filter(|id| host.answers.get(&RequestId(*id)) != Some(&1)).count();
+        prop_assert_eq!(unanswered, 0, "each request has one final answer");
+    }
+
+    #[test]
+    fn the_same_figures_again_change_nothing(
+        asks in prop::collection::vec(prop::collection::vec(1u8..9, 0..3), 100),
+        again in prop::collection::btree_set(0usize..100, 1..10),
+    ) {
+        let (mut one, mut other) = (Host::new(settings()), Host::new(settings()));
+        for (at, asks) in asks.iter().enumerate() {
+            let now = START + STEP * at as u32;
+            one.step(now, asks);
+            other.step(now, asks);
+            if again.contains(&at) {
+                let between = now + STEP / 3;
+                other.scheduler.reconfigure(between, settings()).unwrap();
+            }
+        }
+        prop_assert_eq!(one.all_actions, other.all_actions);
+    }
+
+    /// A change of what does not limit anything here neither sends, refuses nor delays anything.
+    #[test]
+    fn other_figures_leave_the_limit_and_what_waits_as_they_are(
+        asks in prop::collection::vec(prop::collection::vec(1u8..9, 0..3), 100),
+        at_step in 0usize..100,
+    ) {
+        let mut changed = settings();
+        changed.limits.max_attempts = 7;
+        changed.limits.max_retry_after = Duration::from_millis(900);
+        changed.plans[1].limit = Some(limit(1.0, 8.0, 1.0));
+        let (mut one, mut other) = (Host::new(settings()), Host::new(settings()));
+        for (at, asks) in asks.iter().enumerate() {
+            let now = START + STEP * at as u32;
+            one.step(now, asks);
+            other.step(now, asks);
+            if at == at_step {
+                other.scheduler.reconfigure(now + STEP / 3, changed.clone()).unwrap();
+            }
+        }
+        let answered = |host: &Host| (host.sent.len(), host.answers.clone());
+        prop_assert_eq!(answered(&one), answered(&other));
+    }
+}
+
+/// All that a start reckons from settings is as if it had begun with these.
+#[test]
+fn a_scheduler_that_has_learned_nothing_is_as_one_that_begins_with_the_new_settings() {
+    let mut changed = settings();
+    changed.classes[0].aim = Duration::from_millis(150);
+    changed.classes[1].worth = 9.0;
+    changed.plans[0] = Plan { reserve: 1.0, limit: None, weight: 3.0, price: 0.5 };
+    changed.units = Units { mean: 3.0, largest: 9.0, share_worth: 0.2, ..changed.units };
+    changed.limits.max_attempts = 2;
+    let mut scheduler = Scheduler::new(settings(), 5);
+    scheduler.reconfigure(START, changed.clone()).unwrap();
+    let bytes = |scheduler: &Scheduler| postcard::to_stdvec(scheduler).unwrap();
+    assert!(bytes(&scheduler) == bytes(&Scheduler::new(changed, 5)));
+    assert!(bytes(&scheduler) != bytes(&Scheduler::new(settings(), 5)));
+}
+
+#[test]
+fn what_can_not_change_is_refused_whole() {
+    let refused = |change: fn(&mut Settings)| {
+        let mut changed = settings();
+        changed.units.mean = 1.0;
+        change(&mut changed);
+        let mut scheduler = Scheduler::new(settings(), 1);
+        assert_eq!(scheduler.reconfigure(START, changed), Err(FixedSettings));
+        assert_eq!(scheduler.settings, settings());
+    };
+    refused(|it| it.hosts = 2);
+    refused(|it| it.tick = Duration::from_millis(3));
+    refused(|it| it.list_on_request = true);
+    refused(|it| it.classes[0].deadline = Duration::from_secs(5));
+    refused(|it| it.classes[1].effect = Effect::Unsafe);
+    refused(|it| it.classes[1].window = Duration::from_secs(5));
+    refused(|it| it.classes[1].in_order = true);
+    refused(|it| it.classes.truncate(1));
+    refused(|it| it.plans.truncate(1));
+    refused(|it| it.units.meter = Duration::from_secs(5));
+    refused(|it| it.rules.fall = Duration::from_secs(5));
+    refused(|it| it.limits.connect_timeout = Duration::from_secs(5));
+    refused(|it| it.limits.most_held = Some(5));
+}
+
+/// Requests that wait for their limit, with none of it left; in time for their aim for 400 ms.
+fn waiting(settings: Settings, count: u64) -> (Scheduler, Duration) {
+    let mut scheduler = Scheduler::new(settings, 1);
+    let mut events = vec![list(None)];
+    events.extend((1..=count).map(|id| Event::Request(request(id, START, 4.0))));
+    scheduler.handle(START, &events, &mut Vec::new());
+    (scheduler, START)
+}
+
+fn sends(scheduler: &mut Scheduler, now: Duration) -> usize {
+    let mut actions = Vec::new();
+    scheduler.handle(now, &[Event::Wake], &mut actions);
+    actions.iter().filter(|action| matches!(action, Action::Send { .. })).count()
+}
+
+#[test]
+fn what_waits_goes_by_the_new_rate_from_the_takeover_on() {
+    let slow = with_limit(Some(limit(5.0, 8.0, 0.0)));
+    let (mut scheduler, start) = waiting(slow, 3);
+    let later = start + Duration::from_millis(200);
+    scheduler.reconfigure(later, with_limit(Some(limit(30.0, 8.0, 0.0)))).unwrap();
+    // One unit of four came at the old rate, and three come in a tenth of a second at the new one.
+    assert_eq!(sends(&mut scheduler, later + Duration::from_millis(90)), 0);
+    assert_eq!(sends(&mut scheduler, later + Duration::from_millis(110)), 1);
+}
+
+#[test]
+fn what_waits_for_a_limit_that_is_taken_away_goes_at_once() {
+    let (mut scheduler, start) = waiting(with_limit(Some(limit(1.0, 8.0, 0.0))), 3);
+    scheduler.reconfigure(start, with_limit(None)).unwrap();
+    assert_eq!(sends(&mut scheduler, start + Duration::from_millis(10)), 3);
+}
+
+#[test]
+fn a_request_beyond_a_lowered_number_of_attempts_is_answered_at_the_next_call() {
+    let mut scheduler = Scheduler::new(settings(), 1);
+    let first = [list(None), Event::Request(request(1, START, 4.0))];
+    scheduler.handle(START, &first, &mut Vec::new());
+    let failed = Event::AttemptEnded(end(RequestId(1), NodeId(1), Outcome::NotConnected));
+    let soon = START + Duration::from_millis(10);
+    let mut actions = Vec::new();
+    // The node rests after its failure, and the request waits for it.
+    let rests = Event::AttemptEnded(end(RequestId(9), NodeId(1), Outcome::NotConnected));
+    scheduler.handle(soon, &[failed, rests], &mut actions);
+    if actions.iter().any(|action| matches!(action, Action::Send { .. })) {
+        let failed = Event::AttemptEnded(end(RequestId(1), NodeId(1), Outcome::NotConnected));
+        scheduler.nodes.get_mut(&NodeId(1)).unwrap().blocked_until = soon + Duration::from_secs(1);
+        scheduler.handle(soon, &[failed], &mut Vec::new());
+    }
+    assert_eq!(scheduler.held.values().flatten().count(), 1);
+    let mut lowered = settings();
+    lowered.limits.max_attempts = 1;
+    scheduler.reconfigure(soon, lowered).unwrap();
+    let mut actions = Vec::new();
+    scheduler.handle(soon + Duration::from_millis(1), &[Event::Wake], &mut actions);
+    let retry_after = Duration::from_millis(300);
+    assert!(actions.contains(&Action::Refuse { id: RequestId(1), retry_after }), "{actions:?}");
+}
+
+/// Hosts take a change over together: were a cold node's store brought up to its top, each would send at once.
+#[test]
+fn a_change_of_what_cold_nodes_bear_lets_nothing_through_by_itself() {
+    let started = START - Duration::from_secs(3);
+    let mut scheduler = Scheduler::new(settings(), 1);
+    scheduler.handle(START, &[list(Some(started))], &mut Vec::new());
+    let mean = settings().units.mean;
+    let rate = scheduler.cold_rate(&scheduler.nodes[&NodeId(1)]);
+    let node = scheduler.nodes.get_mut(&NodeId(1)).unwrap();
+    // Paid up, and past the place in time at which it was open last.
+    node.cold = Store { level: mean - 1e-3, at: START };
+    let mut changed = settings();
+    changed.units.cold_units = 3.0;
+    changed.rules.fall = settings().rules.fall;
+    scheduler.reconfigure(START, changed).unwrap();
+    assert!(scheduler.nodes[&NodeId(1)].cold.level >= mean - 1e-3, "as it was, not capped");
+    let now = scheduler.cold_rate(&scheduler.nodes[&NodeId(1)]);
+    assert!((rate - 10.0).abs() < 1e-9 && (now - 1.0).abs() < 1e-9, "{rate} then {now}");
+}
+
+#[test]
+fn a_shifted_level_lets_what_is_worth_least_through_as_deep_as_before() {
+    let mut scheduler = Scheduler::new(settings(), 1);
+    scheduler.level = 1.0;
+    let mut halved = settings();
+    halved.classes[0].worth /= 2.0;
+    scheduler.reconfigure(START, halved.clone()).unwrap();
+    assert!((scheduler.level - 1.0 - 2f64.ln()).abs() < 1e-9, "{}", scheduler.level);
+    scheduler.level = top_level(&halved);
+    scheduler.reconfigure(START, settings()).unwrap();
+    assert!((scheduler.level - top_level(&settings())).abs() < 1e-9, "{}", scheduler.level);
+    scheduler.level = LEAST_LEVEL;
+    let mut even = settings();
+    even.classes[0].worth = 4.0;
+    scheduler.reconfigure(START, even).unwrap();
+    assert_eq!(scheduler.level, LEAST_LEVEL);
+}
+
+#[test]
+fn past_performance_is_measured_by_the_new_aim() {
+    let mut scheduler = Scheduler::new(settings(), 1);
+    scheduler.classes[0].history.push_back((1.2, 4.0));
+    scheduler.classes[1].history.push_back((1.2, 4.0));
+    let mut changed = settings();
+    changed.classes[0].aim /= 2;
+    scheduler.reconfigure(START, changed).unwrap();
+    let history = |class: usize| scheduler.classes[class].history[0];
+    assert_eq!((history(0), history(1)), ((0.6, 4.0), (1.2, 4.0)));
+}
+
+/// What many held requests are ranked by is reckoned once at a time, with the units of the largest request.
+#[test]
+fn what_was_reckoned_with_old_figures_is_reckoned_again() {
+    let (mut scheduler, start) = waiting(settings(), 1);
+    let demand = |scheduler: &Scheduler| {
+        let volume = &scheduler.volumes[&VolumeId(7)];
+        volume.demand(start, scheduler.settings.units.largest)
+    };
+    let volume = scheduler.volumes.get_mut(&VolumeId(7)).unwrap();
+    volume.told = 20.0;
+    volume.reckoned.take();
+    let before = demand(&scheduler);
+    let mut changed = settings();
+    changed.units.largest = 4.0;
+    scheduler.reconfigure(start, changed).unwrap();
+    assert!((demand(&scheduler) - before).abs() > 1e-3, "{before}");
+}
+
+#[test]
+fn a_lowered_burst_caps_at_once() {
+    let (mut scheduler, start) = waiting(with_limit(Some(limit(20.0, 32.0, 0.0))), 0);
+    scheduler.volumes.insert(VolumeId(7), Volume { terms: (0, 1.0), ..Volume::default() });
+    scheduler.volumes.get_mut(&VolumeId(7)).unwrap().limit = Store { level: 30.0, at: start };
+    scheduler.reconfigure(start, with_limit(Some(limit(20.0, 9.0, 0.0)))).unwrap();
+    assert_eq!(scheduler.volumes[&VolumeId(7)].limit.level, 9.0);
+}
