The forwarder takes a revision over; nodes out by configuration; the key `configuration`

Every part that holds a figure since the start gets the new one: scheduler, the core's and both fronts' wait for refused clients, the largest transfer of the second front. A node is out while the admin endpoint or the configuration says so; one that is back begins as one called back, a name not listed yet counts once it is. `configuration` in planners.toml is off by default, an error without planners, and off with a warning where the settings forbid talk between initiators.

A reload compared the settings in force (with what the process itself had set) to the file and so asked for a restart each time; it now compares what the file stated.

The takeover has no caller yet, so the compiler warns of unused code.

--- a/src/config/iscsi.rs
+++ b/src/config/iscsi.rs
@@ -77,6 +77,15 @@
     pub shard: u32,
 }
 
+impl Iscsi {
+    /// Another size of the largest request, in units.
+    pub(crate) fn set_largest(&mut self, largest: f64) {
+        for unit in self.exports.iter_mut().flat_map(|export| export.units.values_mut()) {
+            unit.most_bytes = most_bytes(largest, unit.unit_bytes);
+        }
+    }
+}
+
 impl Unit {
     /// Units that a transfer counts.
     pub(crate) fn units_of(&self, blocks: u32) -> f64 {
@@ -218,7 +227,6 @@
     if unit.blocks == 0 || unit.block_bytes == 0 || unit.unit_bytes == 0 || unit.hosts == 0 {
         return Err("blocks, block_bytes, unit_bytes and hosts must be above 0".into());
     }
-    let most_bytes = (settings.units.largest * f64::from(unit.unit_bytes)) as usize;
     Ok(Unit {
         volume: VolumeId(volume),
         plan,
@@ -229,13 +237,18 @@
         hosts: unit.hosts.into(),
         blocks: unit.blocks,
         block_bytes: unit.block_bytes,
-        most_bytes: most_bytes.min(MOST_BYTES),
+        most_bytes: most_bytes(settings.units.largest, unit.unit_bytes),
         storage_lun: unit.storage_lun.unwrap_or(unit.lun),
         unit_bytes: unit.unit_bytes,
         names: Names { classes: Vec::new(), plan: unit.plan },
     })
 }
 
+/// Bytes of the largest transfer, given the units of the largest request and the bytes of one unit.
+fn most_bytes(largest: f64, unit_bytes: u32) -> usize {
+    ((largest * f64::from(unit_bytes)) as usize).min(MOST_BYTES)
+}
+
 /// The class of writes to a storage: that stated, but repeatable only as far as the storage drops repeats.
 fn write_class(stated: usize, storage: &FileStorage, settings: &mut Settings, wire: &mut Wire) -> usize {
     let window = Duration::from_millis(storage.drops_repeats_ms);
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,6 +5,7 @@
 use crate::discovery::ListMessage;
 use crate::fleet;
 use crate::interface::Settings;
+use crate::revisions::document::Names;
 use crate::settings;
 use crate::vrrp;
 use serde::Deserialize;
@@ -50,8 +51,10 @@
     pub memory: usize,
     /// The node list as it was last known.
     pub known: Option<ListMessage>,
-    /// For the decisions.
+    /// For the decisions, as in force.
     pub settings: Settings,
+    /// For the decisions, as the configuration itself states them.
+    pub stated: Settings,
     /// For the wire.
     pub wire: Wire,
     /// The second front, where it is switched on.
@@ -60,6 +63,8 @@
     pub planners: Vec<SocketAddr>,
     /// Partitions that things are dealt to among them.
     pub partitions: usize,
+    /// Planners may change settings while it runs, where that is switched on and the settings let it hear of others.
+    pub live_configuration: bool,
     /// Addresses that move between machines, where that is switched on.
     pub vrrp: Option<vrrp::settings::Settings>,
     /// Membership among initiators, where that is switched on and the settings let them talk.
@@ -145,8 +150,14 @@
         }
         config.iscsi = iscsi::Iscsi::read(iscsi, &mut config.settings, &mut config.wire)
             .map_err(|why| format!("{}: {why}", iscsi.display()))?;
-        (config.planners, config.partitions) =
-            read_planners(planners).map_err(|why| format!("{}: {why}", planners.display()))?;
+        let remote =
+            RemotePlanners::read(planners).map_err(|why| format!("{}: {why}", planners.display()))?;
+        (config.planners, config.partitions) = (remote.planners, remote.partitions);
+        config.live_configuration = remote.configuration && config.wire.peers;
+        if remote.configuration && !config.wire.peers {
+            let why = "configuration: off, since the settings forbid talk between initiators";
+            tracing::warn!("{}: {why}", planners.display());
+        }
         config.vrrp =
             vrrp::settings::Settings::read(vrrp).map_err(|why| format!("{}: {why}", vrrp.display()))?;
         let part = read_if_there(fleet)
@@ -166,6 +177,11 @@
         Ok(config)
     }
 
+    /// The names that live configuration may refer to.
+    pub fn names(&self) -> Names {
+        Names { classes: self.wire.classes.clone(), plans: self.wire.plans.clone() }
+    }
+
     /// What another configuration would change that only a restart can.
     pub(crate) fn fixed_changes(&self, new: &Config) -> Vec<&'static str> {
         let changes = [
@@ -173,9 +189,10 @@
             ("listen", self.listen != new.listen),
             ("control", self.control != new.control),
             ("limits", (self.cores, self.sockets, self.memory) != (new.cores, new.sockets, new.memory)),
-            ("settings", self.settings != new.settings || self.wire != new.wire),
+            ("settings", self.stated != new.stated || self.wire != new.wire),
             ("the second front", self.iscsi != new.iscsi),
             ("planners", (&self.planners, self.partitions) != (&new.planners, new.partitions)),
+            ("live configuration", self.live_configuration != new.live_configuration),
             ("the fleet", self.fleet != new.fleet),
             ("whether VRRP is on", self.vrrp.is_some() != new.vrrp.is_some()),
         ];
@@ -223,10 +240,12 @@
                 conn_idle: millis("conn_idle_ms", wire.limits.conn_idle_ms)?,
                 peers: wire.limits.peers,
             },
+            stated: settings.clone(),
             settings,
             iscsi: None,
             planners: Vec::new(),
             partitions: 0,
+            live_configuration: false,
             vrrp: None,
             fleet: None,
         })
@@ -235,27 +254,48 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Planners {
+struct PlannersFile {
     enabled: bool,
     planners: Vec<SocketAddr>,
     partitions: Option<usize>,
+    #[serde(default)]
+    configuration: bool,
 }
 
-/// Addresses of planners, and the number of partitions.
-fn read_planners(path: &Path) -> Result<(Vec<SocketAddr>, usize), String> {
-    let Some(text) = read_if_there(path)? else { return Ok((Vec::new(), 0)) };
-    let file: Planners = toml::from_str(&text).map_err(|error| error.message().to_string())?;
-    let partitions = file.partitions.unwrap_or(file.planners.len());
-    if !file.enabled {
-        return Ok((Vec::new(), 0));
-    }
-    if !(1..=16).contains(&file.planners.len()) {
-        return Err(format!("planners: {} of them, 1 to 16 are allowed", file.planners.len()));
+/// What the file of remote planners says; without one there are none.
+#[derive(Debug, Default, PartialEq)]
+struct RemotePlanners {
+    /// Their addresses.
+    planners: Vec<SocketAddr>,
+    /// Partitions that volumes are dealt to.
+    partitions: usize,
+    /// Whether they may change settings while this initiator runs.
+    configuration: bool,
+}
+
+impl RemotePlanners {
+    fn read(path: &Path) -> Result<Self, String> {
+        let text = read_if_there(path)?;
+        text.map_or_else(|| Ok(RemotePlanners::default()), |text| RemotePlanners::parse(&text))
     }
-    if !(1..=64).contains(&partitions) {
-        return Err(format!("partitions: {partitions} is not allowed, 1 to 64 are"));
+
+    fn parse(text: &str) -> Result<Self, String> {
+        let file: PlannersFile = toml::from_str(text).map_err(|error| error.message().to_string())?;
+        let partitions = file.partitions.unwrap_or(file.planners.len());
+        if file.configuration && !file.enabled {
+            return Err("configuration: true is not allowed without planners (enabled = false)".into());
+        }
+        if !file.enabled {
+            return Ok(RemotePlanners::default());
+        }
+        if !(1..=16).contains(&file.planners.len()) {
+            return Err(format!("planners: {} of them, 1 to 16 are allowed", file.planners.len()));
+        }
+        if !(1..=64).contains(&partitions) {
+            return Err(format!("partitions: {partitions} is not allowed, 1 to 64 are"));
+        }
+        Ok(RemotePlanners { planners: file.planners, partitions, configuration: file.configuration })
     }
-    Ok((file.planners, partitions))
 }
 
 fn read_if_there(path: &Path) -> Result<Option<String>, String> {
@@ -271,3 +311,6 @@
         .filter(|span| !span.is_zero())
         .ok_or_else(|| format!("unusable settings: limits.{name} is {value}"))
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/core.rs
+++ b/src/core.rs
@@ -286,6 +286,11 @@
         }
     }
 
+    /// When a client is to come again from now on that is refused here.
+    pub fn set_retry_after(&mut self, retry_after: Duration) {
+        self.retry_after = retry_after;
+    }
+
     /// Counts since the start, and what is open or kept now: a line each.
     pub fn info(&self) -> String {
         let own = [
--- /dev/null
+++ b/src/forwarder/configuration.rs
@@ -0,0 +1,76 @@
+//! Takes over a revision of the live configuration: every part of the process that holds a figure of the settings since
+//! the start gets the new one, between two rounds of decisions.
+
+use super::Forwarder;
+use crate::config::Wire;
+use crate::interface::Settings;
+use crate::revisions::follower::Prepared;
+use crate::rules::reconfigure::FixedSettings;
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+impl Forwarder {
+    /// Works by a revision from now on. What the process itself sets at its start stands: the revision was prepared from
+    /// the settings that were in force then.
+    ///
+    /// # Errors
+    ///
+    /// The revision's settings differ in what can't change while running. Nothing has changed then.
+    pub(super) fn take_over_configuration(
+        &mut self,
+        now: Instant,
+        prepared: &Prepared,
+    ) -> Result<(), FixedSettings> {
+        // Refuses before anything else has changed.
+        self.planner.reconfigure(now, prepared.settings.clone())?;
+        let before = std::mem::replace(&mut self.config.settings, prepared.settings.clone());
+        let retry_after = self.config.settings.limits.max_retry_after;
+        self.core.set_retry_after(retry_after);
+        self.resp.protocol_mut().retry_after = retry_after;
+        if let Some(front) = &mut self.iscsi {
+            front.protocol_mut().reconfigure(&self.config.settings);
+        }
+        self.take_nodes_out(now, &prepared.nodes_out);
+        let changed = changes(&before, &self.config.settings, &self.config.wire);
+        let nodes_out = &prepared.nodes_out;
+        tracing::info!(revision = %prepared.id, ?changed, ?nodes_out, "live configuration taken over");
+        Ok(())
+    }
+
+    /// Nodes that are out get nothing new after the grace, as those that drain.
+    fn take_nodes_out(&mut self, now: Instant, names: &BTreeSet<String>) {
+        let event = self.nodes.configure_out(now, self.clock.unix(now), names);
+        event.into_iter().for_each(|event| self.core.tell(event));
+        let grace = self.config.settings.rules.drain_grace;
+        for (node, closes) in self.nodes.closing(grace) {
+            self.targets.close_at(node, closes);
+        }
+    }
+}
+
+/// The sections of a document, and the names in them, whose figures changed.
+fn changes(before: &Settings, after: &Settings, wire: &Wire) -> Vec<String> {
+    let classes = before.classes.iter().zip(&after.classes).enumerate();
+    let classes = classes.filter(|(_, (old, new))| old != new);
+    let classes = classes.map(|(position, _)| named("classes", &wire.classes, position));
+    let rate = |settings: &Settings, plan: usize| settings.units.base_rates.get(plan).copied().unwrap_or(0.0);
+    let plans = before.plans.iter().zip(&after.plans).enumerate();
+    let plans = plans
+        .filter(|(position, (old, new))| old != new || rate(before, *position) != rate(after, *position));
+    let plans = plans.map(|(position, _)| named("plans", &wire.plans, position));
+    let costs = |settings: &Settings| {
+        let units = &settings.units;
+        (units.mean, units.largest, units.share_worth, units.spare_worth, units.cold_units)
+    };
+    let costs = (costs(before) != costs(after)).then(|| "costs".to_string());
+    let limits = (before.limits != after.limits).then(|| "limits".to_string());
+    classes.chain(plans).chain(costs).chain(limits).collect()
+}
+
+fn named(section: &str, names: &[String], position: usize) -> String {
+    let name = names.get(position).map_or("?", String::as_str);
+    format!("{section}.{name}")
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/forwarder/configuration/tests.rs
@@ -0,0 +1,233 @@
+use super::*;
+use crate::config::Files;
+use crate::core::{Answer, AttemptId, Content, Effect, Operation, Origin};
+use crate::discovery::{Endpoint, ListMessage, News, Status};
+use crate::interface::{Event, ListKind, NewRequest, NodeEntry, NodeState, RequestId};
+use crate::process::Signals;
+use crate::revisions::document::Document;
+use crate::revisions::{RevisionId, RevisionNumber};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+const CONFIG: &str = r#"{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":64,"sockets":256},"known":null,
+ "settings":{"siblings":1,"tick_ms":2.0,"discovery":"pushed","zones":["z"],
+ "classes":[
+  {"name":"read","aim_ms":400,"hard_limit_ms":5000,"worth":2,"late_worth":0.2,"effect":"read_like"},
+  {"name":"write","aim_ms":600,"hard_limit_ms":5000,"worth":3,"effect":"idempotency_key","key_scope":"cell",
+   "window_ms":5000}],
+ "service_levels":[
+  {"name":"base","base_rate":10,"ceiling_rate":40,"guaranteed":1,"limit_burst":16,"tolerance":8},
+  {"name":"plus","base_rate":10,"guaranteed":10}],
+ "domain":{"largest":8,"unit_mean":2,"share_worth":0.35,"idle_worth":0.05,"young_limit":34},
+ "contract":{"grace_to_answer_ms":8,"drain_grace_ms":2000,"cold_from":0.16,"warm_after_ms":18000,
+  "tip_multiple":3,"fall_ms":3000},
+ "limits":{"attempts_cap":4,"connect_timeout_ms":60000,"conn_idle_ms":30000,"max_retry_after_ms":500,
+  "retry_after":true,"may_cancel":true}}}"#;
+
+const ISCSI: &str = r#"
+enabled = true
+listen = "127.0.0.1:0"
+
+[[target]]
+name = "iqn.2026-11.example:disk"
+
+[[target.unit]]
+lun = 0
+blocks = 4096
+block_bytes = 512
+unit_bytes = 4096
+volume = "7"
+plan = "base"
+read = "read"
+write = "write"
+shard = 0
+hosts = 1
+"#;
+
+/// The files of a test, and what is left of them in the end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(test: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("topazpath-{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+
+    fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn start(folder: &Folder) -> Forwarder {
+    let none = |name: &str| Path::new("/nonexistent").join(name);
+    let planners = "enabled = true\nplanners = [\"127.0.0.1:9\"]\nconfiguration = true";
+    let files = Files {
+        config: folder.file("config.json", CONFIG),
+        iscsi: folder.file("iscsi.toml", ISCSI),
+        planners: folder.file("planners.toml", planners),
+        vrrp: none("vrrp.toml"),
+        fleet: none("fleet.toml"),
+        control: None,
+    };
+    let stream = || {
+        let (near, _) = UnixStream::pair().unwrap();
+        near.set_nonblocking(true).unwrap();
+        near
+    };
+    Forwarder::new(files, Signals { end: stream(), reload: stream() }).unwrap()
+}
+
+fn prepare(forwarder: &Forwarder, base: &Settings, number: u64, text: &str) -> Prepared {
+    let document = Document::parse(text).unwrap();
+    let settings = document.apply(base, &forwarder.config.names()).unwrap();
+    let id = RevisionId { number: RevisionNumber(number), hash: document.hash() };
+    Prepared { id, settings, nodes_out: document.nodes_out }
+}
+
+fn list_nodes(forwarder: &mut Forwarder, names: &[&str]) {
+    let address = ([127, 0, 0, 1], 9).into();
+    let line = |name: &&str| Endpoint {
+        address,
+        name: name.to_string(),
+        zone: "z".into(),
+        group: 0,
+        status: Status::Active,
+        since_ms: 1.0,
+    };
+    let message = ListMessage { index: 1, snapshot: true, endpoints: names.iter().map(line).collect() };
+    forwarder.take_list(Instant::now(), News { message, fresh: true }, ListKind::Full);
+}
+
+/// The lines of the node list that the scheduler is to be told.
+fn told(forwarder: &mut Forwarder) -> Vec<NodeEntry> {
+    let events = forwarder.core.drain_events();
+    let entries = events.into_iter().filter_map(|event| match event {
+        Event::List { entries, .. } => Some(entries),
+        _ => None,
+    });
+    entries.flatten().collect()
+}
+
+fn content() -> Content {
+    Content {
+        operation: Operation::Read,
+        object: "o".into(),
+        id: "1".into(),
+        attributes: String::new(),
+        body: Vec::new(),
+        flow: None,
+        extent: None,
+    }
+}
+
+#[test]
+fn every_part_that_holds_a_figure_gets_the_new_one() {
+    let folder = Folder::new("configuration");
+    let mut forwarder = start(&folder);
+    let base = forwarder.config.settings.clone();
+    assert!(base.limits.most_held.is_some(), "set by the process itself");
+    let text = "[plans.base]\nceiling_rate = 20\n[classes.read]\nworth = 4\n[limits]\nmax_retry_after_ms = 120\n[costs]\nlargest = 7";
+    let prepared = prepare(&forwarder, &base, 1, text);
+    let changed = changes(&base, &prepared.settings, &forwarder.config.wire);
+    assert_eq!(changed, ["classes.read", "plans.base", "costs", "limits"]);
+    forwarder.take_over_configuration(Instant::now(), &prepared).unwrap();
+    let settings = &forwarder.config.settings;
+    assert_eq!(settings, &prepared.settings);
+    assert_eq!(settings.limits.most_held, base.limits.most_held);
+    assert_eq!(settings.plans[0].limit.map(|limit| limit.rate), Some(20.0));
+    let again = Duration::from_millis(120);
+    assert_eq!(forwarder.resp.protocol_mut().retry_after, again);
+    let (offered, retry_after) = forwarder.iscsi.as_mut().unwrap().protocol_mut().figures();
+    assert_eq!((offered.exports[0].units[&0].most_bytes, retry_after), (7 * 4096, again));
+    let deadline = forwarder.clock.unix(Instant::now()) + Duration::from_secs(1);
+    let new = NewRequest { deadline, ..NewRequest::default() };
+    forwarder.core.take(Origin { conn: 1, place: 0 }, new, content()).unwrap();
+    forwarder.core.end_all();
+    let refused = |effect: &Effect| matches!(effect, Effect::Answer { answer: Answer::Refused { retry_after }, .. } if *retry_after == again);
+    assert!(forwarder.core.drain_effects().iter().any(refused));
+    // A revision that says nothing of a figure gives it back to the settings.
+    let prepared = prepare(&forwarder, &base, 2, "");
+    forwarder.take_over_configuration(Instant::now(), &prepared).unwrap();
+    assert_eq!(forwarder.config.settings, base);
+    assert_eq!(forwarder.resp.protocol_mut().retry_after, Duration::from_millis(500));
+}
+
+#[test]
+fn a_revision_that_changes_what_is_fixed_changes_nothing() {
+    let folder = Folder::new("configuration-fixed");
+    let mut forwarder = start(&folder);
+    list_nodes(&mut forwarder, &["s-1"]);
+    let base = forwarder.config.settings.clone();
+    let mut prepared =
+        prepare(&forwarder, &base, 1, "nodes_out = ['s-1']\n[limits]\nmax_retry_after_ms = 120\n");
+    prepared.settings.hosts += 1;
+    assert!(forwarder.take_over_configuration(Instant::now(), &prepared).is_err());
+    assert_eq!(forwarder.config.settings, base);
+    assert_eq!(forwarder.resp.protocol_mut().retry_after, Duration::from_millis(500));
+    assert_eq!(forwarder.nodes.ready(), 1);
+}
+
+#[test]
+fn nodes_that_a_revision_takes_out_get_nothing_new_until_one_gives_them_back() {
+    let folder = Folder::new("configuration-nodes");
+    let mut forwarder = start(&folder);
+    list_nodes(&mut forwarder, &["s-1", "s-2"]);
+    told(&mut forwarder);
+    let base = forwarder.config.settings.clone();
+    let prepared = prepare(&forwarder, &base, 1, "nodes_out = ['s-2', 's-3']");
+    forwarder.take_over_configuration(Instant::now(), &prepared).unwrap();
+    let states = |lines: Vec<NodeEntry>| lines.iter().map(|line| line.state).collect::<Vec<_>>();
+    assert_eq!(states(told(&mut forwarder)), [NodeState::Draining]);
+    list_nodes(&mut forwarder, &["s-1", "s-2", "s-3"]);
+    let wanted = [NodeState::Ready, NodeState::Draining, NodeState::Draining];
+    assert_eq!(states(told(&mut forwarder)), wanted);
+    let prepared = prepare(&forwarder, &base, 2, "nodes_out = ['s-3']");
+    forwarder.take_over_configuration(Instant::now(), &prepared).unwrap();
+    let back = told(&mut forwarder);
+    assert!(back[0].started.is_some_and(|started| started > Duration::from_secs(1)), "cold again");
+    assert_eq!(states(back), [NodeState::Ready]);
+    assert_eq!(forwarder.nodes.ready(), 2);
+}
+
+/// Others read the file again on SIGHUP: what a revision has changed is no change of the files.
+#[test]
+fn a_file_that_stays_as_it_was_needs_no_restart() {
+    let folder = Folder::new("configuration-reload");
+    let mut forwarder = start(&folder);
+    let base = forwarder.config.settings.clone();
+    let prepared = prepare(&forwarder, &base, 1, "[classes.read]\nworth = 4");
+    forwarder.take_over_configuration(Instant::now(), &prepared).unwrap();
+    let read = crate::config::Config::read(&forwarder.files).unwrap();
+    assert_eq!(forwarder.config.fixed_changes(&read), Vec::<&str>::new());
+}
+
+/// An attempt that waits for its connection is not to begin after the grace of a node that was taken out meanwhile.
+#[test]
+fn what_has_not_begun_at_a_node_that_is_taken_out_ends_with_its_grace() {
+    let folder = Folder::new("configuration-unsent");
+    let mut forwarder = start(&folder);
+    list_nodes(&mut forwarder, &["s-1"]);
+    let node = told(&mut forwarder).pop().unwrap().node;
+    let (now, late) = (Instant::now(), Instant::now() + Duration::from_secs(50));
+    let attempt = AttemptId { request: RequestId(1), number: 0 };
+    let content = std::rc::Rc::new(content());
+    forwarder.carry_out(now, Effect::Start { attempt, node, content, give_up_at: late, begin_by: late });
+    let base = forwarder.config.settings.clone();
+    let prepared = prepare(&forwarder, &base, 1, "nodes_out = ['s-1']");
+    forwarder.take_over_configuration(now, &prepared).unwrap();
+    forwarder.targets.tick(now + Duration::from_millis(1900));
+    assert!(forwarder.targets.ended.is_empty());
+    forwarder.targets.tick(now + Duration::from_millis(2100));
+    assert_eq!(forwarder.targets.ended.len(), 1);
+}
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -1,5 +1,6 @@
 //! The loop: gathers what is ready, hands it to the planner in one call, carries out what came back.
 
+mod configuration;
 mod operators;
 mod rooms;
 mod succession;
--- a/src/front/iscsi.rs
+++ b/src/front/iscsi.rs
@@ -6,7 +6,7 @@
 use super::{Closing, Declined, Intake, Protocol, ELSEWHERE_AFTER};
 use crate::config::iscsi::{Export, Iscsi, Unit};
 use crate::core::{Answer, Content, Extent, Operation};
-use crate::interface::{NewRequest, RequestId};
+use crate::interface::{NewRequest, RequestId, Settings};
 use crate::iscsi::pdu::{is_before, FINAL, HEADER, NO_TAG};
 use crate::iscsi::scsi::{self, Cdb, Sense};
 use crate::iscsi::{text, Opcode, Pdu};
@@ -46,6 +46,18 @@
     pub fn new(config: Iscsi, patience: Vec<Duration>, retry_after: Duration, seed: u64) -> Self {
         Target { config, patience, retry_after, last_id: Cell::new(seed) }
     }
+
+    /// What is offered, and when an initiator is to come again that is refused here.
+    #[cfg(test)]
+    pub fn figures(&self) -> (&Iscsi, Duration) {
+        (&self.config, self.retry_after)
+    }
+
+    /// Works by the figures of these settings from now on.
+    pub fn reconfigure(&mut self, settings: &Settings) {
+        self.retry_after = settings.limits.max_retry_after;
+        self.config.set_largest(settings.units.largest);
+    }
 }
 
 /// One session.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -268,6 +268,11 @@
 }
 
 impl<P: Protocol> Front<P> {
+    /// What is spoken here, to change its settings.
+    pub fn protocol_mut(&mut self) -> &mut P {
+        &mut self.protocol
+    }
+
     pub fn new(
         protocol: P,
         mut listener: TcpListener,
--- a/src/nodes.rs
+++ b/src/nodes.rs
@@ -1,5 +1,6 @@
-//! Which nodes there are: what discovery and the second front's file name, less what operators have taken out. The
-//! scheduler sees only the list that comes of both. No I/O and no clock.
+//! Which nodes there are: what discovery and the second front's file name, less what operators have taken out, at the
+//! admin endpoint or by the live configuration. The scheduler sees only the list that comes of all. No I/O and no clock.
+//! A node is out while either of the two says so.
 //!
 //! A ban is a drain with a clock of its own: it begins with the operator's call, and only an operator's call ends it,
 //! whatever discovery says in between. Who is called back is taken to have started anew, unless discovery names a later
@@ -10,7 +11,7 @@
 use crate::interface::{Event, ListKind, NodeEntry, NodeId, NodeState};
 use crate::target::{Endpoint, Wire};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -61,6 +62,8 @@
     own: Vec<NodeEntry>,
     zones: Vec<String>,
     bans: BTreeMap<String, Ban>,
+    /// Taken out by the live configuration, whether they were ever listed or not.
+    configured_out: BTreeMap<String, Ban>,
     /// Called back, with the time of the call, until discovery names a later start.
     returned: BTreeMap<String, Duration>,
     /// Hashes of names that were listed at some time, and the order they came in.
@@ -125,12 +128,12 @@
             let since = self.drains(node).unwrap_or(now);
             let drains = (state == NodeState::Draining).then_some(since);
             let endpoint = Endpoint { address: line.address, wire: Wire::Resp };
-            let banned = self.bans.contains_key(&line.name) && state != NodeState::Gone;
+            let out = self.is_out(&line.name) && state != NodeState::Gone;
             self.known.insert(node, Known { endpoint, line: entry.clone(), drains });
-            entries.push(if banned { drained(&entry) } else { entry });
+            entries.push(if out { drained(&entry) } else { entry });
         }
         if kind != ListKind::Delta {
-            entries.extend(self.own.iter().cloned());
+            entries.extend(self.own.iter().map(|line| self.shown(line)));
             // Whoever is not on a whole list is gone.
             for (node, known) in &mut self.known {
                 if !entries.iter().any(|entry| entry.node == *node) {
@@ -165,18 +168,67 @@
     pub fn call_back(&mut self, unix: Duration, name: &str) -> Result<Option<Event>, String> {
         self.check_listed(name)?;
         let Some(ban) = self.bans.remove(name) else { return Ok(None) };
-        let known = self.ids.get(name).and_then(|id| self.known.get_mut(id));
-        if let Some(known) = known {
-            // Guards a cold node against being taken for a warm one while discovery is late.
-            if known.line.started.is_none_or(|started| started <= ban.unix) {
-                known.line.started = Some(unix);
-                self.returned.insert(name.to_string(), unix);
+        Ok(self.begin_again(unix, name, ban).map(delta))
+    }
+
+    /// The names that the live configuration takes out from now on, in place of those that it took out before. A name
+    /// counts from when it is listed. What to tell the scheduler.
+    pub fn configure_out(&mut self, now: Instant, unix: Duration, names: &BTreeSet<String>) -> Option<Event> {
+        let before = std::mem::take(&mut self.configured_out);
+        let (stay, back): (Vec<_>, Vec<_>) = before.into_iter().partition(|(name, _)| names.contains(name));
+        self.configured_out.extend(stay);
+        let mut entries = Vec::new();
+        for (name, ban) in back {
+            entries.extend(self.begin_again(unix, &name, ban));
+        }
+        for name in names {
+            if self.configured_out.contains_key(name) {
+                continue;
             }
-            return Ok(Some(delta(known.line.clone())));
+            self.configured_out.insert(name.clone(), Ban { since: now, unix });
+            let known = self.ids.get(name).and_then(|id| self.known.get(id));
+            entries.extend(known.map(|known| drained(&known.line)));
+        }
+        (!entries.is_empty()).then_some(Event::List { kind: ListKind::Delta, entries })
+    }
+
+    /// A target that one of the two took out and no longer does: its line, if it may serve. It is taken to have started
+    /// anew.
+    fn begin_again(&mut self, unix: Duration, name: &str, ban: Ban) -> Option<NodeEntry> {
+        if self.is_out(name) {
+            return None;
+        }
+        let known = self.ids.get(name).and_then(|id| self.known.get_mut(id));
+        let Some(known) = known else {
+            // It comes back into a list that may not know of its restart either.
+            self.returned.insert(name.to_string(), unix);
+            return None;
+        };
+        // Guards a cold node against being taken for a warm one while discovery is late.
+        if known.line.started.is_none_or(|started| started <= ban.unix) {
+            known.line.started = Some(unix);
+            self.returned.insert(name.to_string(), unix);
+        }
+        Some(known.line.clone())
+    }
+
+    fn is_out(&self, name: &str) -> bool {
+        self.bans.contains_key(name) || self.configured_out.contains_key(name)
+    }
+
+    /// When a node was taken out, whoever did so first.
+    fn out_since(&self, node: NodeId) -> Option<Instant> {
+        let all = self.bans.iter().chain(&self.configured_out);
+        let here = all.filter(|(name, _)| self.ids.get(*name) == Some(&node));
+        here.map(|(_, ban)| ban.since).min()
+    }
+
+    /// A node's line as the scheduler is to see it.
+    fn shown(&self, line: &NodeEntry) -> NodeEntry {
+        if self.out_since(line.node).is_some() {
+            return drained(line);
         }
-        // It comes back into a list that may not know of its restart either.
-        self.returned.insert(name.to_string(), unix);
-        Ok(None)
+        line.clone()
     }
 
     fn check_listed(&self, name: &str) -> Result<(), String> {
@@ -235,10 +287,8 @@
         self.returned = carried.returned.into_iter().take(MOST_NAMES).collect();
         self.listed_order = carried.listed.into_iter().take(MOST_NAMES).collect();
         self.listed = self.listed_order.iter().copied().collect();
-        let banned = |node| self.bans.keys().any(|name| self.ids.get(name) == Some(&node));
-        let line =
-            |known: &Known| if banned(known.line.node) { drained(&known.line) } else { known.line.clone() };
-        Some(Event::List { kind: ListKind::Cached, entries: self.known.values().map(line).collect() })
+        let entries = self.known.values().map(|known| self.shown(&known.line)).collect();
+        Some(Event::List { kind: ListKind::Cached, entries })
     }
 
     /// Where a node is reached, if an attempt may begin there, and until when it may: guards the rule on drains where the
@@ -256,8 +306,7 @@
 
     /// Since when a node is to get nothing new, whoever said so first.
     fn since(&self, node: NodeId) -> Option<Instant> {
-        let banned = self.bans.iter().find(|(name, _)| self.ids.get(*name) == Some(&node));
-        [self.drains(node), banned.map(|(_, ban)| ban.since)].into_iter().flatten().min()
+        [self.drains(node), self.out_since(node)].into_iter().flatten().min()
     }
 
     /// The shard that a node holds.
@@ -267,9 +316,8 @@
 
     /// Nodes that may be used.
     pub fn ready(&self) -> usize {
-        let banned = |node: &NodeId| self.bans.keys().any(|name| self.ids.get(name) == Some(node));
         let ready = self.known.iter().filter(|(_, known)| known.line.state == NodeState::Ready);
-        ready.filter(|(node, _)| !banned(node)).count()
+        ready.filter(|(node, _)| self.out_since(**node).is_none()).count()
     }
 
     /// How many there are of what is kept, by name.
--- a/src/nodes/tests.rs
+++ b/src/nodes/tests.rs
@@ -147,3 +147,79 @@
         }
     }
 }
+
+fn names(names: &[&str]) -> BTreeSet<String> {
+    names.iter().map(|name| name.to_string()).collect()
+}
+
+fn listed(now: Instant, known: &[&str]) -> Nodes {
+    let mut nodes = Nodes::new(vec![]);
+    let lines = known.iter().map(|name| line(name, Status::Active, 1.0)).collect();
+    nodes.take(now, told(true, lines), ListKind::Full);
+    nodes
+}
+
+#[test]
+fn a_node_is_out_while_the_door_or_the_configuration_says_so() {
+    let now = Instant::now();
+    let mut nodes = listed(now, &["s-1"]);
+    nodes.ban(now, seconds(100), "s-1").unwrap();
+    let event = nodes.configure_out(now, seconds(101), &names(&["s-1"])).unwrap();
+    assert_eq!(states(&event)[0].0, NodeState::Draining);
+    assert_eq!(nodes.call_back(seconds(110), "s-1"), Ok(None), "the configuration still says so");
+    assert_eq!(nodes.ready(), 0);
+    let event = nodes.configure_out(now, seconds(120), &names(&[])).unwrap();
+    assert_eq!(states(&event), [(NodeState::Ready, Some(seconds(120)))]);
+    // The other way round.
+    nodes.configure_out(now, seconds(130), &names(&["s-1"]));
+    nodes.ban(now, seconds(131), "s-1").unwrap();
+    assert_eq!(nodes.configure_out(now, seconds(140), &names(&[])), None, "the door still says so");
+    assert_eq!(nodes.ready(), 0);
+    let event = nodes.call_back(seconds(150), "s-1").unwrap().unwrap();
+    assert_eq!(states(&event), [(NodeState::Ready, Some(seconds(150)))]);
+    assert_eq!(nodes.ready(), 1);
+}
+
+#[test]
+fn a_name_that_the_configuration_takes_out_counts_once_it_is_listed() {
+    let now = Instant::now();
+    let mut nodes = listed(now, &["s-1"]);
+    assert_eq!(nodes.configure_out(now, seconds(100), &names(&["s-2"])), None);
+    let line_of = |name| line(name, Status::Active, 1.0);
+    let (event, _) = nodes.take(now, told(true, vec![line_of("s-1"), line_of("s-2")]), ListKind::Full);
+    assert_eq!(
+        states(&event).iter().map(|it| it.0).collect::<Vec<_>>(),
+        [NodeState::Ready, NodeState::Draining]
+    );
+    // The same names again are no news, and do not begin its grace anew.
+    let later = now + GRACE / 2;
+    assert_eq!(nodes.configure_out(later, seconds(101), &names(&["s-2"])), None);
+    let closes: Vec<Instant> = nodes.closing(GRACE).map(|(_, closes)| closes).collect();
+    assert_eq!(closes, [now + GRACE]);
+    let open = |nodes: &Nodes, now| nodes.open(now, nodes.ids["s-2"], GRACE).is_some();
+    assert!(open(&nodes, now + GRACE / 2) && !open(&nodes, now + GRACE));
+    // What discovery says in between does not end it.
+    let (event, _) = nodes.take(now, told(false, vec![line_of("s-2")]), ListKind::Delta);
+    assert_eq!(states(&event)[0].0, NodeState::Draining);
+}
+
+#[test]
+fn a_node_that_the_configuration_gives_back_while_it_is_not_listed_begins_anew() {
+    let now = Instant::now();
+    let mut nodes = listed(now, &["s-1"]);
+    nodes.configure_out(now, seconds(100), &names(&["s-1"]));
+    nodes.take(now, told(false, vec![line("s-1", Status::Left, 1.0)]), ListKind::Delta);
+    assert_eq!(nodes.configure_out(now, seconds(110), &names(&[])), None);
+    let (event, _) = nodes.take(now, told(false, vec![line("s-1", Status::Active, 1.0)]), ListKind::Delta);
+    assert_eq!(states(&event), [(NodeState::Ready, Some(seconds(110)))]);
+}
+
+#[test]
+fn storage_of_the_second_front_that_is_out_stays_out_with_each_list() {
+    let now = Instant::now();
+    let mut nodes = Nodes::new(vec![]);
+    nodes.add_own(&Storage { name: "iqn.a".into(), address: ([127, 0, 0, 1], 2).into(), shard: 5 });
+    assert!(nodes.configure_out(now, seconds(100), &names(&["iscsi iqn.a"])).is_some());
+    let (event, _) = nodes.take(now, told(true, vec![]), ListKind::Full);
+    assert_eq!(states(&event)[0].0, NodeState::Draining);
+}
