--- a/src/rules/reconfigure/tests.rs
+++ b/src/rules/reconfigure/tests.rs
@@ -358,6 +358,12 @@
     assert!(scheduler.nodes[&NodeId(1)].cold.level >= mean - 1e-3, "as it was, not capped");
     let now = scheduler.cold_rate(&scheduler.nodes[&NodeId(1)]);
     assert!((rate - 10.0).abs() < 1e-9 && (now - 1.0).abs() < 1e-9, "{rate} then {now}");
+    // What came in since it was looked at last came at the old rate.
+    let earlier = START - Duration::from_millis(500);
+    scheduler.nodes.get_mut(&NodeId(1)).unwrap().cold = Store { level: -3.0, at: earlier };
+    scheduler.reconfigure(START, settings()).unwrap();
+    let paid = scheduler.nodes[&NodeId(1)].cold.level;
+    assert!((paid - (-3.0 + 0.5 * now)).abs() < 1e-9, "{paid}");
 }
 
 #[test]
