--- a/tests/net/configuration.rs
+++ b/tests/net/configuration.rs
@@ -547,7 +547,9 @@
     wait_for_revision(&program, 1);
     // All of them are closed after a while.
     for mut stream in held {
-        let _ = stream.read_to_end(&mut Vec::new());
+        let end = stream.read_to_end(&mut Vec::new());
+        let still_open = end.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
+        assert!(!still_open, "a connection that says nothing more was never closed");
     }
     cluster.settle(1);
 }
