--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -172,23 +172,10 @@
         let door = door.transpose()?;
         let mut tokens = Tokens::new();
         let planners = (!config.planners.is_empty()).then(|| {
-            let (addresses, settings) = (&config.planners, (settings.clone(), None));
-            let (partitions, name) = (config.partitions, config.name.as_str());
-<<<<<<< HEAD
             let names = config.live_configuration.then(|| config.names());
-            Planners::new(
-                addresses,
-                partitions,
-                name,
-                settings,
-                names,
-                config.seed,
-                (clock, now),
-                &mut tokens,
-            )
-=======
+            let (addresses, settings) = (&config.planners, (settings.clone(), names));
+            let (partitions, name) = (config.partitions, config.name.as_str());
             Planners::new(addresses, partitions, name, settings, config.seed, (clock, now), &mut tokens)
->>>>>>> scale-link
         });
         let mut planner = Planner::new(settings, config.seed, clock);
         let mut core = Core::new(clock, retry_after);
