--- a/src/bin/topazpath-planner.rs
+++ b/src/bin/topazpath-planner.rs
@@ -1,6 +1,7 @@
 //! A planner: it decides for initiators while its peers elect it. Its argument is its configuration file. With
 //! `configuration` it is the operators' command for live configuration instead.
 
+use clap::error::ErrorKind;
 use clap::{Args, Parser, Subcommand};
 use std::fs::File;
 use std::io::Read;
@@ -160,11 +161,16 @@
         let _ = error.print();
         return ExitCode::SUCCESS;
     }
+    let exit_code = ExitCode::from(Failure::Usage(String::new()).exit_code());
+    if error.kind() == ErrorKind::DisplayHelpOnMissingArgumentOrSubcommand {
+        eprintln!("usage: {NAME} FILE, or {NAME} configuration COMMAND; --help says more");
+        return exit_code;
+    }
     let text = error.render().to_string();
     let line: Vec<&str> = text.lines().take_while(|line| !line.is_empty()).map(str::trim).collect();
     let line = line.join(" ");
     eprintln!("{NAME}: {}", line.strip_prefix("error: ").unwrap_or(&line));
-    ExitCode::from(Failure::Usage(String::new()).exit_code())
+    exit_code
 }
 
 fn run_action(action: Action) -> Result<(), Failure> {
--- a/src/planner/configuration.rs
+++ b/src/planner/configuration.rs
@@ -10,7 +10,7 @@
 };
 use crate::revisions::distribution::{self, ConnectionId, Distributor};
 use crate::revisions::document::Names;
-use crate::revisions::store::{DiskStore, GroupId, Identity, ReplicaStore, StoreError};
+use crate::revisions::store::{DiskStore, GroupId, Identity, ReplicaStore, StoreError, FILE_NAME};
 use crate::revisions::{Acknowledgement, Revision, RevisionId, RevisionNumber};
 use mio::{Registry, Token};
 use std::collections::BTreeMap;
@@ -70,6 +70,10 @@
     ) -> Result<Self, String> {
         let base = config.read_initiator()?;
         let directory = config.directory.display();
+        if !config.directory.join(FILE_NAME).exists() {
+            let make = "`topazpath-planner configuration create FILE` makes it, once";
+            return Err(format!("{directory}: there is no store: {make}"));
+        }
         let store = DiskStore::open(&config.directory).map_err(|error| error.to_string())?;
         if *store.identity() != identity(config) {
             return Err(format!(
--- a/tests/net/configuration.rs
+++ b/tests/net/configuration.rs
@@ -321,6 +321,8 @@
     let said = cluster.command(&["submit", "--expect", "1", "--author", "test", "/nowhere/document.toml"]);
     assert_eq!(said.code, 2, "{said:?}");
     assert_eq!(run(&["configuration", "status"]).code, 2);
+    assert_eq!(run(&["configuration"]).code, 2);
+    assert_eq!(run(&[]).code, 2);
     assert_eq!(cluster.command(&["show", "9"]).code, 1);
     assert_eq!(cluster.command(&["revert", "9", "--expect", "1", "--author", "test"]).code, 1);
     let nobody = free_address().to_string();
