--- a/src/bin/topazpath-planner.rs
+++ b/src/bin/topazpath-planner.rs
@@ -10,7 +10,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 use topazpath::planner::operator::fleet::{self, Fleet};
-use topazpath::planner::operator::{text, Expected, Failure, Planners};
+use topazpath::planner::operator::{text, Expected, Failure, Planners, SUBMIT_WITHIN};
 use topazpath::planner::server::{self, Config, Server};
 use topazpath::process;
 use topazpath::revisions::document::Document;
@@ -114,6 +114,9 @@
     /// Who submits it.
     #[arg(long)]
     author: String,
+    /// How long planners are asked for a decision; else 8 seconds.
+    #[arg(long, value_name = "SECONDS", value_parser = seconds)]
+    within: Option<Duration>,
     /// Waits until it is in force at every connected initiator.
     #[arg(long, value_name = "SECONDS", value_parser = seconds)]
     wait: Option<Duration>,
@@ -215,7 +218,8 @@
 
 fn submit(arguments: &ProposalArguments, document: Document) -> Result<(), Failure> {
     let planners = arguments.planners.planners();
-    let accepted = planners.submit(document, arguments.expect, &arguments.author)?;
+    let within = arguments.within.unwrap_or(SUBMIT_WITHIN);
+    let accepted = planners.submit(document, arguments.expect, &arguments.author, within)?;
     println!("accepted: revision {accepted}");
     match arguments.wait {
         Some(patience) => wait(&planners, Some(accepted.number), patience),
--- a/src/planner/operator.rs
+++ b/src/planner/operator.rs
@@ -23,8 +23,8 @@
 const DECISION_TIMEOUT: Duration = Duration::from_secs(7);
 /// How long a planner may take to answer any other question.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
-/// How long a proposal is asked for, at all planners in turn: longer than the replacement of a leader takes.
-const SUBMIT_LIMIT: Duration = Duration::from_secs(8);
+/// How long a proposal is asked for as a rule, at all planners in turn: longer than the replacement of a leader takes.
+pub const SUBMIT_WITHIN: Duration = Duration::from_secs(8);
 /// The pause between two rounds of asking.
 const PAUSE: Duration = Duration::from_millis(200);
 /// What is read at once.
@@ -133,7 +133,8 @@
         Ok(revision.ok_or_else(missing)?.document)
     }
 
-    /// Submits a document as the next revision, and waits for the decision.
+    /// Submits a document as the next revision. Planners are asked for the decision in turn, `within` this time and once each
+    /// at least.
     ///
     /// # Errors
     ///
@@ -143,6 +144,7 @@
         document: Document,
         expected: Expected,
         author: &str,
+        within: Duration,
     ) -> Result<RevisionId, Failure> {
         super::configuration::check_author(author).map_err(Failure::Usage)?;
         document.check().map_err(|error| Failure::Refused(error.to_string()))?;
@@ -159,7 +161,7 @@
                     return outcome;
                 }
             }
-            if start.elapsed() >= SUBMIT_LIMIT || round.is_hopeless() {
+            if start.elapsed() >= within || round.is_hopeless() {
                 return Err(round.failure(expected));
             }
             std::thread::sleep(PAUSE);
--- a/src/planner/operator/tests.rs
+++ b/src/planner/operator/tests.rs
@@ -84,7 +84,7 @@
     let answers = vec![None, Some(unknown), Some(OperatorReply::Accepted(accepted))];
     let (planners, requests) = planners(answers);
     let expected = Expected::Number(RevisionNumber(0));
-    assert_eq!(planners.submit(Document::default(), expected, "test"), Ok(accepted));
+    assert_eq!(planners.submit(Document::default(), expected, "test", SUBMIT_WITHIN), Ok(accepted));
     let ids: Vec<ProposalId> = requests
         .iter()
         .map(|request| match request {
--- a/tests/net/configuration.rs
+++ b/tests/net/configuration.rs
@@ -15,7 +15,7 @@
 const COUNT: usize = 3;
 /// The limit of `base` in the files, in units a second: more than the load here.
 const LIMIT: u64 = 100_000;
-/// For `--wait`: longer than anything here takes on a loaded machine.
+/// For `--within` and `--wait`: longer than anything here takes on a loaded machine.
 const WAIT: &str = "20";
 
 /// Three planners with live configuration on. Ends them with the test.
@@ -125,7 +125,8 @@
     /// Submits a document against a revision, and waits until it is in force.
     fn submit(&self, expected: &str, text: &str) -> Said {
         let document = self.document(text);
-        self.command(&["submit", "--expect", expected, "--author", "test", "--wait", WAIT, &document])
+        let words = ["submit", "--expect", expected, "--author", "test", "--within", WAIT, "--wait", WAIT];
+        self.command(&[&words[..], &[&document]].concat())
     }
 
     fn document(&self, text: &str) -> String {
@@ -367,7 +368,8 @@
         let planner = status["planners"][2]["status"].clone();
         (planner["quorum"] == false).then_some(())
     });
-    let said = cluster.submit("latest", &parts(99));
+    let document = cluster.document(&parts(99));
+    let said = cluster.command(&["submit", "--expect", "6", "--author", "test", "--within", "1", &document]);
     assert_eq!((said.code, said.error.contains("no quorum")), (3, true), "{said:?}");
     for program in &programs {
         eventually("the age is told", || (in_force(program)["age_ms"].as_u64()? > 1000).then_some(()));
@@ -479,7 +481,8 @@
     assert_eq!(one.count(), before);
     let compared = cluster.command(&["compare", "0", "1"]);
     assert!(compared.output.starts_with("nodes_out: "), "{compared:?}");
-    let said = cluster.command(&["revert", "0", "--expect", "1", "--author", "test", "--wait", WAIT]);
+    let said = cluster
+        .command(&["revert", "0", "--expect", "1", "--author", "test", "--within", WAIT, "--wait", WAIT]);
     assert_eq!(said.code, 0, "{said:?}");
     assert_eq!(cluster.command(&["compare", "0", "2"]).output, "");
     // With the other one out it is the only one that can serve.
