--- a/src/bin/topazpath-planner.rs
+++ b/src/bin/topazpath-planner.rs
@@ -1,6 +1,7 @@
 //! A planner: it decides for initiators while its peers elect it. Its argument is its configuration file. With
 //! `configuration` it is the operators' command for live configuration instead.
 
+use clap::error::ErrorKind;
 use clap::{Args, Parser, Subcommand};
 use std::fs::File;
 use std::io::Read;
@@ -9,7 +10,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 use topazpath::planner::operator::fleet::{self, Fleet};
-use topazpath::planner::operator::{text, Expected, Failure, Planners};
+use topazpath::planner::operator::{text, Expected, Failure, Planners, SUBMIT_WITHIN};
 use topazpath::planner::server::{self, Config, Server};
 use topazpath::process;
 use topazpath::revisions::document::Document;
@@ -113,6 +114,9 @@
     /// Who submits it.
     #[arg(long)]
     author: String,
+    /// How long planners are asked for a decision; else 8 seconds.
+    #[arg(long, value_name = "SECONDS", value_parser = seconds)]
+    within: Option<Duration>,
     /// Waits until it is in force at every connected initiator.
     #[arg(long, value_name = "SECONDS", value_parser = seconds)]
     wait: Option<Duration>,
@@ -160,11 +164,16 @@
         let _ = error.print();
         return ExitCode::SUCCESS;
     }
+    let exit_code = ExitCode::from(Failure::Usage(String::new()).exit_code());
+    if error.kind() == ErrorKind::DisplayHelpOnMissingArgumentOrSubcommand {
+        eprintln!("usage: {NAME} FILE, or {NAME} configuration COMMAND; --help says more");
+        return exit_code;
+    }
     let text = error.render().to_string();
     let line: Vec<&str> = text.lines().take_while(|line| !line.is_empty()).map(str::trim).collect();
     let line = line.join(" ");
     eprintln!("{NAME}: {}", line.strip_prefix("error: ").unwrap_or(&line));
-    ExitCode::from(Failure::Usage(String::new()).exit_code())
+    exit_code
 }
 
 fn run_action(action: Action) -> Result<(), Failure> {
@@ -209,7 +218,8 @@
 
 fn submit(arguments: &ProposalArguments, document: Document) -> Result<(), Failure> {
     let planners = arguments.planners.planners();
-    let accepted = planners.submit(document, arguments.expect, &arguments.author)?;
+    let within = arguments.within.unwrap_or(SUBMIT_WITHIN);
+    let accepted = planners.submit(document, arguments.expect, &arguments.author, within)?;
     println!("accepted: revision {accepted}");
     match arguments.wait {
         Some(patience) => wait(&planners, Some(accepted.number), patience),
