Hollow fleet: initiators without clients, their network, processes and scenes; not run yet

The real control code runs many times in a few worker processes, real processes among them; datagrams and planners' connections go through counting relays that can cut a region off; discovery's stand-in holds all watches in one thread. In the library only visibility changes. Compiles (cargo check); no test or run yet.

--- /dev/null
+++ b/lab/src/hollow/processes.rs
@@ -0,0 +1,266 @@
+//! The processes of a run: workers with hollow initiators, real initiators, planners. Each ends with its owner here, so
+//! that none outlives a run that fails.
+
+use super::files::{self, Setup};
+use super::messages::{Command as Order, Late, Seen, Standing};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdin, Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender};
+use std::time::{Duration, Instant};
+use topazpath::resp::{self, Value as Resp};
+
+/// How long a process may take to answer.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A child process, killed when this is dropped.
+pub struct Process {
+    /// What it is called where a run tells of it.
+    pub name: String,
+    child: Child,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    fn start(name: String, mut command: Command) -> Result<Process, String> {
+        let child = command.spawn().map_err(|error| format!("{name}: {error}"))?;
+        Ok(Process { name, child })
+    }
+
+    /// Its number in the system.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// An error if it has ended by itself.
+    pub fn check(&mut self) -> Result<(), String> {
+        match self.child.try_wait() {
+            Ok(None) => Ok(()),
+            Ok(Some(status)) => Err(format!("{} ended by itself: {status}", self.name)),
+            Err(error) => Err(format!("{}: {error}", self.name)),
+        }
+    }
+}
+
+/// A worker with its hollow initiators.
+pub struct Worker {
+    /// Its process.
+    pub process: Process,
+    /// Its initiators.
+    pub hollow: Vec<usize>,
+    /// Memory before it had any.
+    pub empty_bytes: usize,
+    input: ChildStdin,
+    seen: Receiver<Seen>,
+}
+
+impl Worker {
+    /// Starts the process; what it sees of lists goes to `lists`.
+    pub fn start(number: usize, hollow: Vec<usize>, lists: Sender<Seen>) -> Result<Worker, String> {
+        let name = format!("hollow worker {number}");
+        let mut command = Command::new(lab()?);
+        command.arg("hollow-worker").stdin(Stdio::piped()).stdout(Stdio::piped());
+        let mut process = Process::start(name.clone(), command)?;
+        let (input, output) = (process.child.stdin.take(), process.child.stdout.take());
+        let (Some(input), Some(output)) = (input, output) else { return Err(format!("{name}: no pipes")) };
+        let (send, seen) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                let Ok(one) = serde_json::from_str::<Seen>(&line) else {
+                    eprintln!("{name} says something else: {line}");
+                    return;
+                };
+                let target = if matches!(one, Seen::Status { .. }) { &send } else { &lists };
+                if target.send(one).is_err() {
+                    return;
+                }
+            }
+        });
+        let mut worker = Worker { process, hollow, empty_bytes: 0, input, seen };
+        worker.status()?;
+        worker.empty_bytes = topazpath::process::resident(worker.process.id()).unwrap_or(0);
+        Ok(worker)
+    }
+
+    /// Tells it something.
+    pub fn order(&mut self, order: &Order) -> Result<(), String> {
+        let mut line = serde_json::to_string(order).map_err(|error| error.to_string())?;
+        line.push('\n');
+        let written = self.input.write_all(line.as_bytes()).and_then(|()| self.input.flush());
+        written.map_err(|error| format!("{}: {error}", self.process.name))
+    }
+
+    /// How its initiators stand, and how late its loop was since the last time.
+    pub fn status(&mut self) -> Result<(Vec<Standing>, Late), String> {
+        self.order(&Order::Status)?;
+        match self.seen.recv_timeout(PATIENCE) {
+            Ok(Seen::Status { hollow, late }) => Ok((hollow, late)),
+            _ => Err(format!("{} does not answer", self.process.name)),
+        }
+    }
+}
+
+/// This program, which is the workers' as well. Tests lie one folder further down.
+fn lab() -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|error| error.to_string())?;
+    let mut folder = own.parent().ok_or("this program lies nowhere")?;
+    if !folder.ends_with("deps") {
+        return Ok(own);
+    }
+    folder = folder.parent().unwrap_or(folder);
+    let program = folder.join("topazpath-lab");
+    if let Some(cargo) = std::env::var_os("CARGO") {
+        let mut build = Command::new(cargo);
+        build.args(["build", "--quiet", "--package", "topazpath-lab", "--bins"]);
+        if !cfg!(debug_assertions) {
+            build.arg("--release");
+        }
+        let built = build.status().map_err(|error| format!("cargo: {error}"))?;
+        if !built.success() {
+            return Err("the laboratory could not be built".into());
+        }
+    }
+    program
+        .exists()
+        .then_some(program)
+        .ok_or_else(|| "build the laboratory first: cargo build -p topazpath-lab".into())
+}
+
+/// A real initiator, running or not.
+pub struct Real {
+    /// Its number among all initiators.
+    pub who: usize,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    program: PathBuf,
+    folder: PathBuf,
+    process: Option<Process>,
+}
+
+impl Real {
+    /// One that is off.
+    pub fn new(who: usize, program: &Path, folder: PathBuf, setup: &Setup) -> Real {
+        Real { who, listen: setup.listen, program: program.to_path_buf(), folder, process: None }
+    }
+
+    /// Starts it.
+    pub fn start(&mut self) -> Result<(), String> {
+        let files = files::paths(&self.folder);
+        let mut command = Command::new(&self.program);
+        command.env("NODE_CONFIG", &files.config).env("TOPAZPATH_VRRP", &files.vrrp);
+        command.env("TOPAZPATH_ISCSI", &files.iscsi).env("TOPAZPATH_PLANNERS", &files.planners);
+        command.env("TOPAZPATH_FLEET", &files.fleet).env("TMPDIR", &self.folder);
+        command.stdin(Stdio::null()).stdout(Stdio::null());
+        self.process = Some(Process::start(format!("real initiator {}", self.who), command)?);
+        Ok(())
+    }
+
+    /// Ends it at once.
+    pub fn kill(&mut self) {
+        self.process = None;
+    }
+
+    /// Its process, while it runs.
+    pub fn process(&mut self) -> Option<&mut Process> {
+        self.process.as_mut()
+    }
+
+    /// How it stands; nothing while it does not answer.
+    pub fn standing(&self) -> Option<Standing> {
+        self.process.as_ref()?;
+        let mut stream = TcpStream::connect_timeout(&self.listen, Duration::from_secs(1)).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+        stream.write_all(&resp::command(&[b"INFO"])).ok()?;
+        let (mut input, mut bytes) = (Vec::new(), [0; 64 * 1024]);
+        loop {
+            match stream.read(&mut bytes) {
+                Ok(count) if count > 0 => input.extend_from_slice(&bytes[..count]),
+                _ => return None,
+            }
+            if let Ok(Some((Resp::Bulk(Some(text)), _))) = resp::parse(&input) {
+                return Some(Standing::read(self.who, &String::from_utf8_lossy(&text)));
+            }
+        }
+    }
+}
+
+/// The planners.
+pub struct Planners {
+    program: PathBuf,
+    folder: PathBuf,
+    running: Vec<Option<Process>>,
+}
+
+/// Where a planner listens for initiators, hears the others, and is heard by them.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// For initiators.
+    pub listen: SocketAddr,
+    /// For advertisements.
+    pub hears: SocketAddr,
+    /// Where the others send them.
+    pub relay: SocketAddr,
+}
+
+impl Planners {
+    /// Writes their files; all are off.
+    pub fn prepare(program: &Path, folder: &Path, places: &[Place]) -> std::io::Result<Planners> {
+        std::fs::create_dir_all(folder)?;
+        let names: Vec<String> = (0..places.len()).map(|at| format!("p-{at}")).collect();
+        for (at, place) in places.iter().enumerate() {
+            let others = places.iter().filter(|it| it.hears != place.hears);
+            let peers: Vec<String> = others.map(|it| it.relay.to_string()).collect();
+            let text = format!(
+                "listen = \"{}\"\nname = \"{}\"\nplanners = {names:?}\n[vrrp]\nvrid = 1\ninterval_ms = 100\n\
+                 address = \"{}\"\npeers = {peers:?}\n",
+                place.listen, names[at], place.hears
+            );
+            std::fs::write(folder.join(format!("{at}.toml")), text)?;
+        }
+        let program = program.with_file_name("topazpath-planner");
+        let running = places.iter().map(|_| None).collect();
+        Ok(Planners { program, folder: folder.to_path_buf(), running })
+    }
+
+    /// Starts one.
+    pub fn start(&mut self, at: usize) -> Result<(), String> {
+        let mut command = Command::new(&self.program);
+        command.arg(self.folder.join(format!("{at}.toml"))).stdin(Stdio::null()).stdout(Stdio::null());
+        self.running[at] = Some(Process::start(format!("planner {at}"), command)?);
+        Ok(())
+    }
+
+    /// Ends one at once.
+    pub fn kill(&mut self, at: usize) {
+        self.running[at] = None;
+    }
+
+    /// Those that run.
+    pub fn running(&mut self) -> impl Iterator<Item = &mut Process> {
+        self.running.iter_mut().flatten()
+    }
+}
+
+/// Waits until a check comes true; how long that took, or nothing where it never did.
+pub fn until(
+    patience: Duration,
+    pause: Duration,
+    mut check: impl FnMut() -> Result<bool, String>,
+) -> Result<Option<Duration>, String> {
+    let start = Instant::now();
+    while !check()? {
+        if start.elapsed() > patience {
+            return Ok(None);
+        }
+        std::thread::sleep(pause);
+    }
+    Ok(Some(start.elapsed()))
+}
--- /dev/null
+++ b/lab/src/hollow/scenes/mod.rs
@@ -0,0 +1,107 @@
+//! What is played on a whole fleet, one file each. Every scene leaves the fleet whole, or fails.
+
+mod nodes;
+mod planners;
+mod primary;
+mod region;
+mod rest;
+mod wave;
+
+use super::files::FALL;
+use super::rig::Rig;
+use crate::sync::lock;
+use serde::Serialize;
+use serde_json::{json, Map, Value};
+use std::time::Instant;
+
+/// A scene: its name and how it is played.
+pub type Play = fn(&mut Rig) -> Result<Scene, String>;
+
+/// All scenes, in the order that they are played.
+pub const ALL: [(&str, Play); 6] = [
+    ("rest", rest::play),
+    ("primary", primary::play),
+    ("wave", wave::play),
+    ("nodes", nodes::play),
+    ("planners", planners::play),
+    ("region", region::play),
+];
+
+/// What the cut of a region leaves as it is.
+pub const NOT_CUT: [&str; 3] = [
+    "discovery: each region is taken to have its own, with the same list",
+    "clients and nodes: the clients of a region's initiators still reach them, and these all nodes",
+    "what a socket's kernel buffers hold: connections to planners are held up and go on after the cut",
+];
+
+/// What came of a scene.
+#[derive(Debug, Serialize)]
+pub struct Scene {
+    /// Its name.
+    pub name: &'static str,
+    /// What is set against the budget, or how long it was played where there is none.
+    pub seconds: f64,
+    /// The operators' budget in seconds, where they have one.
+    pub budget: Option<f64>,
+    /// Whether it was kept, with the rules.
+    pub holds: bool,
+    /// Everything else that was measured.
+    #[serde(flatten)]
+    pub figures: Map<String, Value>,
+}
+
+impl Scene {
+    fn new(name: &'static str, seconds: f64, budget: Option<f64>, holds: bool) -> Scene {
+        Scene { name, seconds, budget, holds, figures: Map::new() }
+    }
+
+    /// Adds a figure.
+    pub fn tell(&mut self, name: &str, value: Value) {
+        self.figures.insert(name.into(), value);
+    }
+
+    /// The figures on one line.
+    pub fn short(&self) -> String {
+        let figures: Vec<String> =
+            self.figures.iter().map(|(name, value)| format!("{name} {value}")).collect();
+        figures.join("  ")
+    }
+}
+
+/// Count, median and most of some times, in seconds.
+fn spread(times: &[f64]) -> Value {
+    let mut sorted = times.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let at =
+        |part: f64| sorted.get(((sorted.len() as f64 * part) as usize).min(sorted.len().saturating_sub(1)));
+    json!({ "count": sorted.len(), "p50": at(0.5), "p99": at(0.99), "max": sorted.last() })
+}
+
+fn most(times: &[f64]) -> f64 {
+    times.iter().copied().fold(0.0, f64::max)
+}
+
+/// Units that came to a node since a moment within any time of the rule on cold nodes, at the most.
+fn worst_window(rig: &Rig, node: usize, since: Instant) -> f64 {
+    let attempts = lock(&rig.attempts);
+    let came: Vec<(Instant, f64)> = attempts
+        .iter()
+        .filter(|attempt| attempt.node == node && attempt.at >= since)
+        .map(|attempt| (attempt.at, attempt.units))
+        .collect();
+    worst(&came)
+}
+
+/// The most units within [`FALL`], of what came in order.
+pub fn worst(came: &[(Instant, f64)]) -> f64 {
+    let (mut first, mut units, mut worst) = (0, 0.0, 0.0_f64);
+    for (at, size) in came {
+        units += size;
+        while *at - came[first].0 > FALL {
+            units -= came[first].1;
+            first += 1;
+        }
+        worst = worst.max(units);
+    }
+    worst
+}
--- /dev/null
+++ b/lab/src/hollow/tests.rs
@@ -0,0 +1,85 @@
+use super::messages::Standing;
+use super::scenes::worst;
+use super::*;
+use crate::sync::processor::{alone, steady};
+use std::time::{Duration, Instant};
+
+fn options() -> Options {
+    Options {
+        initiators: None,
+        real: None,
+        nodes: None,
+        alive: None,
+        workers: None,
+        volumes: 0,
+        volumes_of: 1000,
+        rate: 20.0,
+        rest_s: Some(3),
+        cut_s: Some(4),
+        only: Vec::new(),
+    }
+}
+
+fn common() -> Common {
+    Common { short: true, json: false, seed: 1 }
+}
+
+#[test]
+fn sizes_out_of_range_and_too_little_of_the_machine_are_one_clear_line() {
+    let why = |change: fn(&mut Options)| {
+        let mut options = options();
+        change(&mut options);
+        options.sizes(&common()).unwrap_err()
+    };
+    assert_eq!(why(|it| it.initiators = Some(3)), "--initiators 3: 12 to 700 are allowed");
+    assert_eq!(why(|it| it.real = Some(1)), "--real 1: 2 to 18 are allowed");
+    assert_eq!(why(|it| it.nodes = Some(9)), "--nodes 9: 16 to 5000 are allowed");
+    assert!(why(|it| it.only = vec!["some".into()]).starts_with("--only some: one of rest, "));
+    let sizes = options().sizes(&common()).unwrap();
+    assert!(sizes.fits(20_000, 16_000, 8_000).is_ok());
+    assert!(sizes.fits(1000, 16_000, 8_000).unwrap_err().contains("descriptors are needed"));
+    assert!(sizes.fits(20_000, 1000, 8_000).unwrap_err().ends_with("500 of 1000 may be used"));
+    assert!(sizes.fits(20_000, 16_000, 200).unwrap_err().contains("MB are needed"));
+}
+
+#[test]
+fn a_cut_holds_up_what_goes_into_or_out_of_one_region_alone() {
+    let cut = Cut::default();
+    assert!(!cut.is_on() && !cut.is_between(0, 2));
+    cut.begin(2);
+    assert!(cut.is_between(0, 2) && cut.is_between(2, 1));
+    assert!(!cut.is_between(2, 2) && !cut.is_between(0, 1));
+    cut.end();
+    assert!(!cut.is_between(0, 2));
+}
+
+#[test]
+fn the_worst_window_is_found_wherever_it_lies() {
+    let start = Instant::now();
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    assert_eq!(worst(&[]), 0.0);
+    assert_eq!(worst(&[(at(0), 1.0), (at(2000), 2.0), (at(4900), 4.0), (at(5500), 8.0)]), 12.0);
+    assert_eq!(worst(&[(at(0), 5.0), (at(3001), 4.0)]), 5.0);
+}
+
+#[test]
+fn what_an_initiator_says_of_itself_is_read() {
+    let lines = "fleet_phase:member\r\nfleet_quorate:1\r\nfleet_members:12\r\nfleet_view:7\r\nnodes:40\r\n\
+                 planners_partitions_planned:2\r\nplanners_partitions_stale:1\r\n";
+    let it = Standing::read(3, lines);
+    assert_eq!((it.who, it.phase.as_str(), it.quorate, it.members, it.view), (3, "member", true, 12, 7));
+    assert_eq!((it.nodes, it.planned, it.stale, it.safe), (40, 2, 1, 0));
+}
+
+/// The whole at a small size. Figures that hang on the machine's speed are not judged here.
+#[test]
+fn a_small_fleet_plays_all_scenes_and_loses_nothing() {
+    let _processor = alone();
+    let sizes = options().sizes(&common()).unwrap();
+    let report = steady(|| run(&sizes)).unwrap();
+    assert_eq!(report.scenes.len(), scenes::ALL.len());
+    for scene in &report.scenes {
+        assert!(scene.holds, "{scene:?}");
+    }
+    assert!(report.requests.served > 0 && report.requests.lost == 0, "{:?}", report.requests);
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,6 +3,7 @@
 mod arguments;
 mod check;
 mod drains;
+mod hollow;
 mod load;
 mod membership;
 mod planners;
@@ -42,6 +43,16 @@
     Planners(arguments::Common),
     /// Shares of forwarders and planners in virtual time: faults, skewed use, outages, scale.
     PlannersSim(arguments::Parts),
+    /// A whole fleet of hollow and real initiators on this machine, and what is played on it.
+    Hollow {
+        #[command(flatten)]
+        options: hollow::Options,
+        #[command(flatten)]
+        common: arguments::Common,
+    },
+    /// A process with many hollow initiators, started by `hollow`.
+    #[command(hide = true)]
+    HollowWorker,
 }
 
 fn main() -> ExitCode {
@@ -55,6 +66,8 @@
         Command::Vrrp(arguments) => vrrp::experiments::run(&arguments),
         Command::Planners(arguments) => planners::processes::run(&arguments),
         Command::PlannersSim(arguments) => planners::simulation::run(&arguments),
+        Command::Hollow { options, common } => hollow::command(&options, &common),
+        Command::HollowWorker => hollow::worker::run(),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -100,7 +100,7 @@
     }
 
     /// What kind of news it is for the decisions.
-    pub(crate) fn kind(&self) -> ListKind {
+    pub fn kind(&self) -> ListKind {
         if self.snapshot {
             ListKind::Full
         } else {
@@ -119,14 +119,15 @@
 }
 
 /// A message that came.
-pub(crate) struct News {
+pub struct News {
+    /// What it says.
     pub message: ListMessage,
     /// It answers a watch that went on from the message before: what it tells was not told earlier.
     pub fresh: bool,
 }
 
 /// The node list as discovery tells it: from one address, and after a reload from the next as soon as that speaks.
-pub(crate) struct Discovery {
+pub struct Discovery {
     manner: Manner,
     /// The last is the address in force; one before it is listened to until the last has spoken.
     watches: Vec<Watch>,
@@ -224,7 +225,7 @@
 
 /// How one of a fleet asks, and how old its news can be.
 #[derive(Clone, Copy)]
-pub(crate) struct Manner {
+pub struct Manner {
     seed: u64,
     /// How long a watch may wait, how long beyond that an answer may take, the mean pauses after a failure and once
     /// discovery is overbooked, and over what the first call is spread.
@@ -236,6 +237,7 @@
 }
 
 impl Manner {
+    /// As the settings say; the seed draws the pauses.
     pub fn new(settings: &Settings, seed: u64) -> Self {
         let hosts = settings.hosts.max(1);
         if settings.list_on_request {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,7 +60,7 @@
 pub mod handover;
 pub mod interface;
 pub mod iscsi;
-mod nodes;
+pub mod nodes;
 mod pace;
 mod placement;
 pub mod planner;
@@ -74,7 +74,7 @@
 pub mod settings;
 pub mod shares;
 mod target;
-mod tokens;
+pub mod tokens;
 mod upgrade;
 pub mod vrrp;
 
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -2,7 +2,7 @@
 //! again, and what is turned away. What it may use of what all initiators share it learns of a few remote planners,
 //! where there are any: `client` talks to them, `server` is one, `frame` is what they say.
 
-pub(crate) mod client;
+pub mod client;
 mod frame;
 pub mod server;
 
--- a/src/tokens.rs
+++ b/src/tokens.rs
@@ -56,6 +56,7 @@
 }
 
 impl Tokens {
+    /// None is given out yet.
     pub fn new() -> Self {
         Tokens { next: FIRST_FREE }
     }
