--- a/lab/src/hollow/files.rs
+++ b/lab/src/hollow/files.rs
@@ -41,6 +41,8 @@
     pub seeds: Vec<(String, SocketAddr)>,
     /// Initiators in all.
     pub initiators: usize,
+    /// Whether planners may change its settings while it runs.
+    pub live: bool,
 }
 
 /// The paths in its folder.
@@ -62,7 +64,8 @@
     let paths = paths(folder);
     std::fs::write(&paths.config, configuration(setup, seed))?;
     let planners: Vec<String> = setup.planners.iter().map(SocketAddr::to_string).collect();
-    std::fs::write(&paths.planners, format!("enabled = true\nplanners = {planners:?}\n"))?;
+    let live = if setup.live { "configuration = true\n" } else { "" };
+    std::fs::write(&paths.planners, format!("enabled = true\nplanners = {planners:?}\n{live}"))?;
     let (own, reached) = setup.fleet;
     let seeds: Vec<String> = setup
         .seeds
@@ -100,3 +103,16 @@
  "limits":{{"attempts_cap":4,"connect_timeout_ms":250,"conn_idle_ms":30000,"max_retry_after_ms":500,"retry_after":true,"may_cancel":true}}}}}}"#
     )
 }
+
+/// Number and hash of the revision in force, as the planners' report of an initiator has them; none before the first, or
+/// where live configuration is off.
+pub fn revision(report: &str) -> Option<(u64, String)> {
+    // A report is long, and asked for ten times a second.
+    if !report.contains("\"configuration\":") {
+        return None;
+    }
+    let report: serde_json::Value = serde_json::from_str(report).ok()?;
+    let it = &report["configuration"];
+    let number = it["number"].as_u64().filter(|number| *number > 0)?;
+    Some((number, it["hash"].as_str()?.to_string()))
+}
--- a/lab/src/hollow/scenes/rest.rs
+++ b/lab/src/hollow/scenes/rest.rs
@@ -14,7 +14,6 @@
 const PROCESSOR: f64 = 0.032;
 const MEMORY_MB: f64 = 256.0;
 const BYTES: f64 = 2048.0;
-/// Calls of discovery a second that an initiator's watch makes at the most: one at each end of its wait, and some again.
 const MEGABYTE: f64 = 1048576.0;
 
 /// Sums since the start of the run.
@@ -77,6 +76,12 @@
     })
 }
 
+/// Bytes a second both ways of one kind.
+fn part_of(traffic: &Value, kind: &str) -> f64 {
+    let of = |way: &str| traffic[kind][way].as_f64().unwrap_or(0.0);
+    of("sent") + of("received")
+}
+
 /// Rests, and sets what was used against the budgets.
 pub fn play(rig: &mut Rig) -> Result<Scene, String> {
     let before = sums(rig);
@@ -135,6 +140,8 @@
         json!({
             "processor": ratio(real_part, workers[0]),
             "bytes": ratio(total(&of_real), total(&of_hollow)),
+            "bytes_planners": ratio(part_of(&of_real, "planners"), part_of(&of_hollow, "planners")),
+            "bytes_discovery": ratio(part_of(&of_real, "discovery"), part_of(&of_hollow, "discovery")),
             "memory": ratio(real_mb, hollow_aside_mb),
             "real_bytes": of_real, "hollow_bytes": of_hollow,
             "real_memory_mb": real_mb, "hollow_process_memory_mb": hollow_aside_mb,
--- a/lab/src/hollow/scenes/wave.rs
+++ b/lab/src/hollow/scenes/wave.rs
@@ -10,13 +10,19 @@
 /// How long the fleet may take.
 const PATIENCE: Duration = Duration::from_secs(180);
 
-/// Kills and starts them again.
-pub fn play(rig: &mut Rig) -> Result<Scene, String> {
+/// A tenth of the initiators, real ones among them.
+pub fn victims(rig: &Rig) -> Vec<usize> {
     let count = rig.sizes.initiators / 10;
     let real = (rig.sizes.serving().len() / 10).max(1);
     // The first four are the seeds and the one that is measured alone.
-    let hollow = 4..4 + count - real;
-    let victims: Vec<usize> = hollow.chain(rig.sizes.serving().take(real)).collect();
+    let hollow = 4..4 + count.saturating_sub(real);
+    hollow.chain(rig.sizes.serving().take(real)).collect()
+}
+
+/// Kills and starts them again.
+pub fn play(rig: &mut Rig) -> Result<Scene, String> {
+    let victims = victims(rig);
+    let real = victims.iter().filter(|who| **who >= rig.sizes.hollow()).count();
     let before = rig.registry.calls();
     let start = Instant::now();
     rig.kill(&victims)?;
--- a/lab/src/hollow/worker.rs
+++ b/lab/src/hollow/worker.rs
@@ -1,7 +1,7 @@
 //! `topazpath-lab hollow-worker`: a process with many hollow initiators and one loop for all of them. Commands come over its
 //! standard input, what is seen goes to its standard output. It ends when its input does.
 
-use super::initiator::Hollow;
+use super::initiator::{Hollow, Told};
 use super::messages::{unix_micros, Command, Late, Seen};
 use hdrhistogram::Histogram;
 use mio::{Events, Poll, Token, Waker};
@@ -121,7 +121,10 @@
             }
             let told = hollow.turn(now, &tokens, self.poll.registry());
             let at = unix_micros();
-            seen.extend(told.into_iter().map(|told| Seen::List { who: *who, index: told.index, at }));
+            seen.extend(told.into_iter().map(|told| match told {
+                Told::List(index) => Seen::List { who: *who, index, at },
+                Told::Revision(number, hash) => Seen::Revision { who: *who, number, hash, at },
+            }));
         }
         seen
     }
--- a/src/tokens.rs
+++ b/src/tokens.rs
@@ -55,6 +55,12 @@
     next: usize,
 }
 
+impl Default for Tokens {
+    fn default() -> Self {
+        Tokens::new()
+    }
+}
+
 impl Tokens {
     /// None is given out yet.
     pub fn new() -> Self {
