--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,6 +3,7 @@
 mod arguments;
 mod check;
 mod drains;
+mod hollow;
 mod load;
 mod membership;
 mod planners;
@@ -45,6 +46,16 @@
     PlannersSim(arguments::Parts),
     /// Agreement of planners on revisions in virtual time: fault schedules by the thousand, and planted faults.
     RevisionsSim(arguments::Parts),
+    /// A whole fleet of hollow and real initiators on this machine, and what is played on it.
+    Hollow {
+        #[command(flatten)]
+        options: hollow::Options,
+        #[command(flatten)]
+        common: arguments::Common,
+    },
+    /// A process with many hollow initiators, started by `hollow`.
+    #[command(hide = true)]
+    HollowWorker,
 }
 
 fn main() -> ExitCode {
@@ -59,6 +70,8 @@
         Command::Planners(arguments) => planners::processes::run(&arguments),
         Command::PlannersSim(arguments) => planners::simulation::run(&arguments),
         Command::RevisionsSim(arguments) => revisions::simulation::run(&arguments),
+        Command::Hollow { options, common } => hollow::command(&options, &common),
+        Command::HollowWorker => hollow::worker::run(),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -4,7 +4,7 @@
 //! `configuration` and `peers` its part in live configuration), `operator` is the operators' side of that, `frame` is what
 //! all of them say.
 
-pub(crate) mod client;
+pub mod client;
 mod configuration;
 mod connection;
 mod frame;
