Laboratory: capacity, how each cost grows with the fleet, set against the size asked for

The command drives the real parts, by axis, fits a power law and ranks what misses. Builds; not run yet.

--- /dev/null
+++ b/lab/src/capacity/mod.rs
@@ -0,0 +1,176 @@
+//! `topazpath-lab capacity`: how each cost grows with the size of the fleet, and what it comes to at the size that
+//! operators expect. The real parts are driven: the decision module, discovery's client, members, both ends of planners,
+//! and whole processes of the program.
+
+pub mod child;
+mod decision;
+mod discovery;
+mod figure;
+mod fit;
+mod initiator;
+mod load;
+mod members_adapter;
+mod meter;
+mod parts;
+mod planner_processes;
+mod relay;
+mod report;
+mod scale;
+mod target;
+
+use figure::{Figure, Role};
+use report::Report;
+use scale::Scale;
+use std::path::PathBuf;
+
+/// Measures one part.
+type Measure = fn(&Scale) -> Result<Vec<Figure>, String>;
+
+/// The parts, by the names that `--only` takes.
+const PARTS: [(&str, Measure); 8] = [
+    ("module", parts::module::measure),
+    ("nodes", parts::nodes::measure),
+    ("members", parts::members::measure),
+    ("planners", parts::planners::measure),
+    ("connections", parts::connections::measure),
+    ("process", parts::process::measure),
+    ("configuration", parts::configuration::measure),
+    ("regions", parts::regions::measure),
+];
+
+/// Memory that the largest sizes take, with some to spare, in short and in full.
+const MEMORY_BYTES: (f64, f64) = (512.0 * 1_048_576.0, 2048.0 * 1_048_576.0);
+
+/// Options of the command.
+#[derive(clap::Args)]
+pub struct Options {
+    /// One JSON object on the last line.
+    #[arg(long)]
+    json: bool,
+    /// Small sizes, one repeat.
+    #[arg(long)]
+    short: bool,
+    /// Only this part; without it, all.
+    #[arg(long)]
+    only: Option<String>,
+    /// Seeds everything that is drawn.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Tables for the pages, instead of the table for people.
+    #[arg(long)]
+    markdown: bool,
+    /// Measures nothing, and reads a report that `--json` printed.
+    #[arg(long)]
+    from: Option<PathBuf>,
+}
+
+/// True if every part was measured. What misses its budget is a result, not a failure.
+pub fn run(options: &Options) -> Result<bool, String> {
+    let report = match &options.from {
+        Some(file) => read(file)?,
+        None => measure(options)?,
+    };
+    if options.markdown {
+        print!("{}", report.markdown());
+    } else {
+        print!("{}", report.table());
+    }
+    if options.json {
+        println!("{}", serde_json::to_string(&report).map_err(|error| error.to_string())?);
+    }
+    Ok(report.not_run.is_empty())
+}
+
+/// A saved report: the last line of the file.
+fn read(file: &PathBuf) -> Result<Report, String> {
+    let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    let last = text.lines().last().unwrap_or_default();
+    serde_json::from_str(last)
+        .map_err(|error| format!("{}: its last line is no report: {error}", file.display()))
+}
+
+fn measure(options: &Options) -> Result<Report, String> {
+    let scale = Scale { short: options.short, seed: options.seed };
+    let wanted = |name: &str| options.only.as_deref().is_none_or(|only| only == name);
+    if !PARTS.iter().any(|(name, _)| wanted(name)) {
+        let names: Vec<&str> = PARTS.iter().map(|(name, _)| *name).collect();
+        let only = options.only.as_deref().unwrap_or_default();
+        return Err(format!("--only {only}: one of {} is allowed", names.join(", ")));
+    }
+    check(&scale, wanted("connections"))?;
+    let target = target::SIZE.iter().map(|(name, value)| (name.to_string(), *value)).collect();
+    let mut report = Report { short: scale.short, seed: scale.seed, target, ..Report::default() };
+    for (name, measure) in PARTS.iter().filter(|(name, _)| wanted(name)) {
+        eprintln!("capacity: {name}");
+        match measure(&scale) {
+            Ok(figures) => report.figures.extend(figures),
+            Err(why) => report.not_run.push(format!("{name}: {why}")),
+        }
+    }
+    report.figures.extend(together(&report.figures));
+    report.ranking = report::rank(&report.figures, &target::LINES);
+    Ok(report)
+}
+
+/// An error, before anything is started, if the machine allows less than the run needs.
+fn check(scale: &Scale, connections: bool) -> Result<(), String> {
+    meter::need_memory(scale.pick(MEMORY_BYTES.0, MEMORY_BYTES.1))?;
+    // A stand-in node listens, and each holds a connection.
+    meter::need_descriptors(2 * scale.nodes().iter().max().copied().unwrap_or(0))?;
+    match connections {
+        true => parts::connections::check(scale),
+        false => Ok(()),
+    }
+}
+
+/// What several parts come to together, where all of them were measured.
+fn together(figures: &[Figure]) -> Vec<Figure> {
+    let sum = |names: &[&str]| -> Option<f64> {
+        names.iter().map(|name| figures.iter().find(|it| it.name == *name).map(|it| it.at_target)).sum()
+    };
+    let bytes = sum(&[
+        "nodes: bytes both ways at rest",
+        "members: bytes both ways at rest",
+        "planners: bytes both ways on the link, by volumes in use",
+    ]);
+    let processor = sum(&["planners: processor of a forwarder at rest", "members: processor at rest"]);
+    let requests = sum(&["process: processor of a request", "connections: processor of handshakes"]);
+    let memory = sum(&["process: memory under load", "connections: memory of those held"]);
+    let of = |name: &str, unit: &str, value: Option<f64>, budget: f64, note: &str| {
+        value.map(|value| Figure::worked_out(name, Role::Initiator, unit, value, note).within(budget))
+    };
+    let all = [
+        of(
+            "together: control bytes both ways",
+            "bytes/s",
+            bytes,
+            target::CONTROL_BYTES_PER_SECOND,
+            "discovery, members and planners",
+        ),
+        of(
+            "together: control processor at rest",
+            "of a core",
+            processor,
+            target::CONTROL_CORES,
+            "the real process with three planners, and a member",
+        ),
+        of(
+            "together: processor of requests and handshakes",
+            "of a core",
+            requests,
+            target::REQUEST_CORES,
+            "at the mean rate",
+        ),
+        of(
+            "together: memory",
+            "bytes",
+            memory,
+            target::CONTROL_MEMORY_BYTES,
+            "under load, with idle clients",
+        ),
+    ];
+    all.into_iter().flatten().collect()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/lab/src/capacity/parts/configuration.rs
@@ -0,0 +1,108 @@
+//! Live configuration: what a document and a change weigh, and what it takes to check, to apply and to take over.
+
+use super::super::figure::{Figure, Point, Role};
+use super::super::meter::timed;
+use super::super::scale::Scale;
+use super::super::target;
+use std::hint::black_box;
+use topazpath::interface::{Plan, Settings};
+use topazpath::revisions::delta::Delta;
+use topazpath::revisions::document::{Document, Names, PlanFigures};
+use topazpath::revisions::{RevisionId, RevisionNumber, Update, UpdateContent};
+
+/// Runs of what takes a few microseconds.
+const RUNS: u32 = 10;
+
+/// What one size came to, a value for each repeat.
+#[derive(Default)]
+struct Costs {
+    whole_bytes: Vec<f64>,
+    change_bytes: Vec<f64>,
+    check_us: Vec<f64>,
+    apply_us: Vec<f64>,
+    difference_us: Vec<f64>,
+}
+
+/// All figures of the part.
+pub fn measure(scale: &Scale) -> Result<Vec<Figure>, String> {
+    let sizes: &[usize] = scale.pick(&[10, 20, 50, 100], &[10, 30, 100, 300, 1000]);
+    let mut all = Vec::new();
+    for size in sizes {
+        all.push((*size as f64, costs(*size, scale)?));
+    }
+    let figure = |name: &str, role: Role, unit: &str, values: fn(&Costs) -> &Vec<f64>| {
+        let points = all.iter().map(|(size, costs)| Point::of(*size, values(costs))).collect();
+        Figure::new(name, role, "keys", unit, points, target::CONFIGURATION_KEYS)
+    };
+    let initiator = Role::Initiator;
+    let a_second = target::CHANGES_PER_DAY / target::DAY_S;
+    Ok(vec![
+        figure("configuration: a whole document", initiator, "bytes", |costs| &costs.whole_bytes)
+            .note("100 keys are assumed"),
+        figure("configuration: a change of one key", initiator, "bytes", |costs| &costs.change_bytes)
+            .times(a_second, "bytes/s")
+            .within(target::CONTROL_BYTES_PER_SECOND)
+            .note("550 changes a day; the message without the link's head and the answer"),
+        figure("configuration: check", Role::Operator, "us", |costs| &costs.check_us),
+        figure("configuration: apply", initiator, "us", |costs| &costs.apply_us),
+        figure("configuration: difference of two documents", Role::Planner, "us", |costs| {
+            &costs.difference_us
+        }),
+    ])
+}
+
+fn name(number: usize) -> String {
+    format!("plan-{number:04}")
+}
+
+/// A document of so many keys, one in each plan.
+pub fn document(keys: usize) -> Document {
+    let figures =
+        |number: usize| PlanFigures { ceiling_rate: Some(100.0 + number as f64), ..PlanFigures::default() };
+    Document {
+        plans: (0..keys).map(|number| (name(number), figures(number))).collect(),
+        ..Document::default()
+    }
+}
+
+/// Settings that have the document's plans.
+fn settings(keys: usize) -> (Settings, Names) {
+    let plan = Plan { reserve: 0.0, limit: None, weight: 1.0, price: 1.0 };
+    let base = super::super::decision::settings(super::super::decision::Setup::of(8));
+    let mut settings = Settings { plans: vec![plan; keys], ..base };
+    settings.units.base_rates = vec![10.0; keys];
+    let classes = (0..settings.classes.len()).map(|number| format!("class-{number}")).collect();
+    (settings, Names { classes, plans: (0..keys).map(name).collect() })
+}
+
+/// Bytes of an update on the wire, without the link's head.
+pub fn bytes(number: u64, document: &Document, content: UpdateContent) -> Result<f64, String> {
+    let id = RevisionId { number: RevisionNumber(number), hash: document.hash() };
+    let update = Update { id, content };
+    postcard::to_stdvec(&update).map(|bytes| bytes.len() as f64).map_err(|error| error.to_string())
+}
+
+fn costs(keys: usize, scale: &Scale) -> Result<Costs, String> {
+    let older = document(keys);
+    let mut newer = older.clone();
+    newer.plans.insert(name(keys / 2), PlanFigures { ceiling_rate: Some(7.0), ..PlanFigures::default() });
+    let (base, names) = settings(keys);
+    let mut costs = Costs::default();
+    let each = |seconds: f64| seconds * 1e6 / f64::from(RUNS);
+    for _ in 0..scale.repeats() {
+        costs.whole_bytes.push(bytes(1, &older, UpdateContent::Whole(older.clone()))?);
+        let reckon = || drop(black_box(Delta::between(&older, &newer)));
+        let ((), seconds) = timed(|| (0..RUNS).for_each(|_| reckon()))?;
+        costs.difference_us.push(each(seconds));
+        let delta = Delta::between(&older, &newer);
+        let old_id = RevisionId { number: RevisionNumber(1), hash: older.hash() };
+        costs.change_bytes.push(bytes(2, &newer, UpdateContent::Changes { base: old_id, delta })?);
+        let (checked, seconds) = timed(|| (0..RUNS).try_for_each(|_| newer.check()))?;
+        checked.map_err(|why| why.to_string())?;
+        costs.check_us.push(each(seconds));
+        let (applied, seconds) = timed(|| (0..RUNS).try_for_each(|_| newer.apply(&base, &names).map(drop)))?;
+        applied.map_err(|why| why.to_string())?;
+        costs.apply_us.push(each(seconds));
+    }
+    Ok(costs)
+}
--- /dev/null
+++ b/lab/src/capacity/parts/members.rs
@@ -0,0 +1,57 @@
+//! Membership: what a member sends and computes, by members.
+
+use super::super::figure::{Figure, Point, Role};
+use super::super::members_adapter::Members;
+use super::super::meter::timed;
+use super::super::scale::Scale;
+use super::super::target;
+use std::time::Duration;
+
+/// What one size came to, a value for each repeat; a member and virtual second.
+#[derive(Default)]
+struct Costs {
+    processor_us: Vec<f64>,
+    datagrams: Vec<f64>,
+    bytes: Vec<f64>,
+}
+
+/// All figures of the part.
+pub fn measure(scale: &Scale) -> Result<Vec<Figure>, String> {
+    let sizes: &[usize] = scale.pick(&[3, 10, 20, 40], &[3, 30, 100, 300, 460, 1000]);
+    let mut all = Vec::new();
+    for size in sizes {
+        all.push((*size as f64, costs(*size, scale)?));
+    }
+    let figure = |name: &str, unit: &str, values: fn(&Costs) -> &Vec<f64>| {
+        let points = all.iter().map(|(size, costs)| Point::of(*size, values(costs))).collect();
+        Figure::new(name, Role::Initiator, "members", unit, points, target::INITIATORS)
+    };
+    Ok(vec![
+        figure("members: processor at rest", "us/s", |costs| &costs.processor_us)
+            .times(1e-6, "of a core")
+            .within(target::CONTROL_CORES)
+            .note("virtual time: with the world around the member, without the sockets"),
+        figure("members: bytes both ways at rest", "bytes/s", |costs| &costs.bytes)
+            .within(target::CONTROL_BYTES_PER_SECOND)
+            .note("sent and received are the same on the mean; payload of the datagrams"),
+        figure("members: datagrams both ways at rest", "datagrams/s", |costs| &costs.datagrams),
+    ])
+}
+
+fn costs(size: usize, scale: &Scale) -> Result<Costs, String> {
+    let mut members = Members::together(size, scale.seed)?;
+    // What the start has to tell is over by then.
+    members.play(scale.pick(Duration::from_secs(5), Duration::from_secs(10)));
+    let time = if size > 500 { Duration::from_secs(4) } else { Duration::from_secs(10) };
+    let each = size as f64 * time.as_secs_f64();
+    let mut costs = Costs::default();
+    for _ in 0..scale.repeats() {
+        let (_, seconds) = timed(|| members.play(time))?;
+        costs.processor_us.push(seconds * 1e6 / each);
+        let sent = members.count(time);
+        // What is sent by one is received by another.
+        costs.datagrams.push(2.0 * sent.datagrams / each);
+        costs.bytes.push(2.0 * sent.bytes / each);
+    }
+    Ok(costs)
+}
--- /dev/null
+++ b/lab/src/capacity/parts/mod.rs
@@ -0,0 +1,10 @@
+//! What is measured, by axis.
+
+pub mod configuration;
+pub mod connections;
+pub mod members;
+pub mod module;
+pub mod nodes;
+pub mod planners;
+pub mod process;
+pub mod regions;
--- /dev/null
+++ b/lab/src/capacity/parts/planners.rs
@@ -0,0 +1,218 @@
+//! Planners' two ends: what reports and plans weigh, how long a round of plans takes, and what the real link carries.
+
+use super::super::child::planners_memory;
+use super::super::discovery::{Answers, Discovery, Line};
+use super::super::figure::{Figure, Point, Role};
+use super::super::initiator::{own_address, Initiator, Setup};
+use super::super::load::Load;
+use super::super::planner_processes::Planners;
+use super::super::scale::Scale;
+use super::super::target;
+use crate::planners::simulation::{rounds, Round};
+use crate::stand_ins::nodes::Nodes;
+use std::time::{Duration, Instant};
+
+/// Rounds a second: a forwarder reports every 100 ms.
+const ROUNDS_PER_SECOND: f64 = 10.0;
+/// A round of plans must be over by then.
+const INTERVAL_MS: f64 = 100.0;
+/// Stand-in nodes behind the real initiator.
+const NODES: usize = 8;
+/// The link, the first plans and the five seconds in which a new forwarder cedes nothing are over by then.
+const SETTLED: Duration = Duration::from_secs(6);
+
+/// All figures of the part.
+pub fn measure(scale: &Scale) -> Result<Vec<Figure>, String> {
+    let mut figures = in_proportion(scale)?;
+    figures.extend(all_volumes(scale)?);
+    figures.push(memory(scale)?);
+    figures.extend(link(scale)?);
+    Ok(figures)
+}
+
+fn forwarders(scale: &Scale) -> &'static [usize] {
+    scale.pick(&[5, 10, 20, 40], &[10, 30, 100, 300, 460, 1000])
+}
+
+/// Volumes of so many forwarders, each of which has as many as at the target.
+fn volumes_of(forwarders: usize) -> usize {
+    (target::VOLUMES / target::INITIATORS * forwarders as f64).round() as usize
+}
+
+/// Nodes in the proportion of the target.
+fn nodes_of(forwarders: usize) -> usize {
+    (target::NODES / target::INITIATORS * forwarders as f64).round() as usize
+}
+
+/// Rounds by forwarders, a value for each repeat.
+fn by_forwarders(scale: &Scale, volumes: impl Fn(usize) -> usize) -> Vec<(f64, Vec<Round>)> {
+    let sizes = forwarders(scale).iter();
+    sizes
+        .map(|size| {
+            let one = |_| rounds(*size, nodes_of(*size), volumes(*size), target::PLANNERS);
+            (*size as f64, (0..scale.repeats()).map(one).collect())
+        })
+        .collect()
+}
+
+fn figure(name: &str, role: Role, unit: &str, all: &[(f64, Vec<Round>)], value: fn(&Round) -> f64) -> Figure {
+    let point = |(size, rounds): &(f64, Vec<Round>)| {
+        Point::of(*size, &rounds.iter().map(value).collect::<Vec<f64>>())
+    };
+    let points = all.iter().map(point).collect();
+    Figure::new(name, role, "forwarders", unit, points, target::INITIATORS)
+}
+
+fn in_proportion(scale: &Scale) -> Result<Vec<Figure>, String> {
+    let all = by_forwarders(scale, volumes_of);
+    Ok(vec![
+        figure("planners: bytes both ways", Role::Initiator, "bytes/s", &all, |it| {
+            it.bytes * ROUNDS_PER_SECOND
+        })
+        .within(target::CONTROL_BYTES_PER_SECOND)
+        .note("virtual time, 22 volumes a forwarder, each through three; 10,000 at the target are assumed"),
+        figure("planners: a round of all plans on one core", Role::Planner, "ms", &all, |it| it.round)
+            .within(INTERVAL_MS)
+            .note("all partitions on one planner, as after the loss of two; volumes in proportion"),
+        figure("planners: one plan", Role::Planner, "us", &all, |it| it.p50),
+    ])
+}
+
+fn all_volumes(scale: &Scale) -> Result<Vec<Figure>, String> {
+    let volumes = scale.pick(500, target::VOLUMES as usize);
+    let all = by_forwarders(scale, |_| volumes);
+    let counted = |name: &str| format!("{name}, {volumes} volumes");
+    Ok(vec![
+        figure(&counted("planners: bytes both ways"), Role::Initiator, "bytes/s", &all, |it| {
+            it.bytes * ROUNDS_PER_SECOND
+        })
+        .within(target::CONTROL_BYTES_PER_SECOND),
+        figure(&counted("planners: a round of all plans on one core"), Role::Planner, "ms", &all, |it| {
+            it.round
+        })
+        .within(INTERVAL_MS),
+    ])
+}
+
+fn memory(scale: &Scale) -> Result<Figure, String> {
+    let mut points = Vec::new();
+    for size in forwarders(scale) {
+        let one = |_| planners_memory(*size, nodes_of(*size), volumes_of(*size), target::PLANNERS);
+        let repeats: Result<Vec<f64>, String> = (0..scale.repeats()).map(one).collect();
+        points.push(Point::of(*size as f64, &repeats?));
+    }
+    let name = "planners: memory of three planners and all forwarders' stores";
+    let figure = Figure::new(name, Role::Planner, "forwarders", "bytes", points, target::INITIATORS);
+    Ok(figure.note("one fresh process a size; an upper bound of a planner's"))
+}
+
+/// What one stretch on the real link came to.
+#[derive(Default)]
+struct Link {
+    rest_bytes: Vec<f64>,
+    rest_processor: Vec<f64>,
+    loaded_bytes: Vec<f64>,
+    planner_memory: Vec<f64>,
+}
+
+fn link(scale: &Scale) -> Result<Vec<Figure>, String> {
+    let mut by_planners = Vec::new();
+    for planners in [1, 2, 3, 5] {
+        by_planners.push((planners as f64, stretch(planners, None, scale)?));
+    }
+    let volume_sizes: &[u64] = scale.pick(&[1, 5, 20, 65], &[1, 10, 30, 65, 200, 600]);
+    let mut by_volumes = Vec::new();
+    for volumes in volume_sizes {
+        by_volumes.push((*volumes as f64, stretch(target::PLANNERS, Some(*volumes), scale)?));
+    }
+    let points = |all: &[(f64, Link)], values: fn(&Link) -> &Vec<f64>| -> Vec<Point> {
+        all.iter().map(|(size, link)| Point::of(*size, values(link))).collect()
+    };
+    let planners = target::PLANNERS as f64;
+    let rest = points(&by_planners, |link| &link.rest_bytes);
+    let processor = points(&by_planners, |link| &link.rest_processor);
+    let loaded = points(&by_volumes, |link| &link.loaded_bytes);
+    let memory = points(&by_volumes, |link| &link.planner_memory);
+    let name = "planners: bytes both ways on the link, by volumes in use";
+    Ok(vec![
+        Figure::new(
+            "planners: bytes both ways on the link at rest",
+            Role::Initiator,
+            "planners",
+            "bytes/s",
+            rest,
+            planners,
+        )
+        .within(target::CONTROL_BYTES_PER_SECOND)
+        .note("a real initiator without requests and real planners, counted by relays"),
+        Figure::new(
+            "planners: processor of a forwarder at rest",
+            Role::Initiator,
+            "planners",
+            "of a core",
+            processor,
+            planners,
+        )
+        .within(target::CONTROL_CORES)
+        .note("the whole real process without requests"),
+        Figure::new(
+            name,
+            Role::Initiator,
+            "volumes in use",
+            "bytes/s",
+            loaded,
+            target::VOLUMES_PER_INITIATOR,
+        )
+        .within(target::CONTROL_BYTES_PER_SECOND)
+        .note("a real initiator at up to 500 requests a second, three real planners, counted by relays"),
+        Figure::new(
+            "planners: memory of a real planner",
+            Role::Planner,
+            "volumes in use",
+            "bytes",
+            memory,
+            target::VOLUMES,
+        )
+        .note("one forwarder; three planners, each with a third of the volumes"),
+    ])
+}
+
+/// A real initiator and planners: at rest, or with reads of so many volumes.
+fn stretch(planners: usize, volumes: Option<u64>, scale: &Scale) -> Result<Link, String> {
+    let told = |error: std::io::Error| error.to_string();
+    let planners = Planners::start(planners)?;
+    let nodes = Nodes::start(own_address(5), NODES, Duration::ZERO).map_err(told)?;
+    let lines = nodes.addresses.iter().map(|address| Line { address: *address, zone: 0 }).collect();
+    let discovery = Discovery::start(own_address(2), lines, Answers::Changes).map_err(told)?;
+    let initiators = target::INITIATORS as usize;
+    let setup = Setup { discovery: discovery.address, initiators, zones: 1, planners: planners.addresses() };
+    let initiator = Initiator::start(&setup)?;
+    discovery.wait_until_taken(Duration::from_secs(20))?;
+    let mut load = volumes.map(|volumes| Load::start(&initiator, volumes, NODES as u64)).transpose()?;
+    let mut watch = |time: Duration| match &mut load {
+        Some(load) => load.ask_for(time).map(drop),
+        None => {
+            std::thread::sleep(time);
+            Ok(())
+        }
+    };
+    watch(scale.pick(Duration::from_secs(1), SETTLED))?;
+    if !planners.are_connected() {
+        return Err("planners: the initiator did not connect to all of them".into());
+    }
+    let mut link = Link::default();
+    for _ in 0..scale.repeats() {
+        let (start, bytes, processor) = (Instant::now(), planners.bytes(), initiator.processor());
+        watch(scale.pick(Duration::from_millis(700), Duration::from_secs(3)))?;
+        let seconds = start.elapsed().as_secs_f64();
+        let bytes = (planners.bytes() - bytes) / seconds;
+        if volumes.is_some() {
+            link.loaded_bytes.push(bytes);
+            link.planner_memory.push(planners.memory()?);
+        } else {
+            link.rest_bytes.push(bytes);
+            link.rest_processor.push((initiator.processor() - processor) / seconds);
+        }
+    }
+    Ok(link)
+}
--- /dev/null
+++ b/lab/src/capacity/tests.rs
@@ -0,0 +1,277 @@
+//! The fit on known laws, the report's form, and each part's short form: judged by counts and ratios, not by wall time.
+
+use super::figure::{Figure, How, Point, Role};
+use super::fit::{cost_at, median, spread, Origin, PowerLaw};
+use super::report::{rank, short, Report};
+use super::scale::Scale;
+use super::{meter, parts, target, together, Options};
+use crate::sync::processor;
+
+const SHORT: Scale = Scale { short: true, seed: 1 };
+
+fn points(law: impl Fn(f64) -> f64) -> Vec<Point> {
+    [8.0, 60.0, 200.0, 500.0].iter().map(|size| Point::of(*size, &[law(*size)])).collect()
+}
+
+fn figure<'a>(figures: &'a [Figure], name: &str) -> &'a Figure {
+    let found = figures.iter().find(|figure| figure.name == name);
+    found.unwrap_or_else(|| panic!("no figure {name}: {:?}", names(figures)))
+}
+
+fn names(figures: &[Figure]) -> Vec<&str> {
+    figures.iter().map(|figure| figure.name.as_str()).collect()
+}
+
+/// The last point's median over the first's.
+fn growth(figure: &Figure) -> f64 {
+    figure.points[figure.points.len() - 1].median / figure.points[0].median
+}
+
+/// What holds for every measured figure.
+fn check_form(figures: &[Figure]) {
+    for figure in figures.iter().filter(|figure| figure.axis != "-") {
+        assert!(figure.points.len() >= 4, "{}: {:?}", figure.name, figure.points);
+        assert!(
+            figure.points.iter().all(|point| point.repeats >= 1 && point.median.is_finite()),
+            "{figure:?}"
+        );
+        assert!(figure.at_target.is_finite(), "{figure:?}");
+        assert_eq!(figure.budget.is_some(), figure.holds.is_some(), "{figure:?}");
+    }
+}
+
+#[test]
+fn the_fit_finds_the_exponent_of_known_laws_and_its_residual() {
+    for exponent in [0.0, 0.5, 1.0, 2.0] {
+        let known: Vec<(f64, f64)> =
+            [3.0, 30.0, 300.0, 1000.0].iter().map(|size: &f64| (*size, 7.0 * size.powf(exponent))).collect();
+        let law = PowerLaw::through(&known).unwrap();
+        assert!((law.exponent - exponent).abs() < 1e-9, "{law:?}");
+        assert!((law.factor - 7.0).abs() < 1e-6, "{law:?}");
+        assert!(law.residual < 1e-9, "{law:?}");
+        assert!((law.at(460.0) / (7.0 * 460_f64.powf(exponent)) - 1.0).abs() < 1e-9);
+    }
+    // Ten per cent up and down in turn: the logarithms deviate by about as much.
+    let shaken: Vec<(f64, f64)> =
+        (0..8).map(|at| (2_f64.powi(at), 5.0 * 2_f64.powi(at) * [1.1, 1.0 / 1.1][at as usize % 2])).collect();
+    let law = PowerLaw::through(&shaken).unwrap();
+    assert!((0.05..0.11).contains(&law.residual), "{law:?}");
+}
+
+#[test]
+fn the_fit_needs_two_sizes_above_zero() {
+    assert_eq!(PowerLaw::through(&[]), None);
+    assert_eq!(PowerLaw::through(&[(3.0, 1.0)]), None);
+    assert_eq!(PowerLaw::through(&[(3.0, 1.0), (3.0, 2.0)]), None);
+    assert_eq!(PowerLaw::through(&[(3.0, 1.0), (30.0, 0.0)]), None);
+    let law = PowerLaw::through(&[(0.0, 5.0), (1.0, 2.0), (10.0, 20.0)]).unwrap();
+    assert!((law.exponent - 1.0).abs() < 1e-9, "a size of zero counts for nothing: {law:?}");
+}
+
+#[test]
+fn repeats_have_a_median_and_a_spread() {
+    assert_eq!((median(&[]), spread(&[])), (0.0, 0.0));
+    assert_eq!((median(&[3.0, 1.0, 9.0]), spread(&[3.0, 1.0, 9.0])), (3.0, 8.0));
+    assert_eq!(median(&[4.0, 1.0, 2.0, 9.0]), 3.0);
+}
+
+#[test]
+fn the_value_at_the_target_is_measured_between_points_and_worked_out_beyond_them() {
+    let linear = points(|size| 2.0 * size);
+    assert_eq!(cost_at(&linear, 200.0), Some((400.0, Origin::Measured)));
+    assert_eq!(cost_at(&linear, 100.0), Some((200.0, Origin::Measured)));
+    let (beyond, origin) = cost_at(&linear, 730.0).unwrap();
+    assert!((beyond - 1460.0).abs() < 1e-6 && origin == Origin::WorkedOut, "{beyond}");
+    assert_eq!(cost_at(&[], 730.0), None);
+}
+
+#[test]
+fn a_figure_tells_how_its_value_came_about_and_whether_it_holds() {
+    let measured = Figure::new("a", Role::Node, "nodes", "us", points(|size| size), 460.0).within(100.0);
+    assert_eq!((measured.how, measured.holds), (How::Measured, Some(false)));
+    assert!((measured.ratio.unwrap() - 4.6).abs() < 1e-9);
+    let times =
+        Figure::new("a", Role::Node, "nodes", "us", points(|size| size), 460.0).times(0.5, "of a core");
+    assert_eq!((times.at_target, times.how), (230.0, How::WorkedOut));
+    assert_eq!((times.budget, times.holds), (None, None));
+    assert_eq!(Figure::new("a", Role::Node, "nodes", "us", Vec::new(), 460.0).how, How::Assumed);
+    let edge = Figure::worked_out("b", Role::Node, "us", 100.0, "").within(100.0);
+    assert_eq!(edge.holds, Some(true));
+}
+
+#[test]
+fn what_does_not_exist_ranks_first_and_then_what_misses_most() {
+    let miss = |name: &str, value| Figure::worked_out(name, Role::Planner, "ms", value, "").within(10.0);
+    let figures = [miss("a little", 12.0), miss("holds", 9.0), miss("a lot", 200.0)];
+    let ranking = rank(&figures, &target::LINES);
+    let absent = target::LINES.iter().filter(|line| line.mechanism.is_none()).count();
+    assert!(ranking[..absent].iter().all(|miss| miss.mechanism == "none" && miss.ratio.is_none()));
+    let rest: Vec<&str> = ranking[absent..].iter().map(|miss| miss.name.as_str()).collect();
+    assert_eq!(rest, ["a lot", "a little"]);
+}
+
+#[test]
+fn the_report_has_its_form_and_is_read_back() {
+    let figure =
+        Figure::new("nodes: x", Role::Initiator, "nodes", "us", points(|size| size), 730.0).within(100.0);
+    let report = Report {
+        ranking: rank(std::slice::from_ref(&figure), &[]),
+        figures: vec![figure],
+        ..Report::default()
+    };
+    let text = serde_json::to_string(&report).unwrap();
+    let value: serde_json::Value = serde_json::from_str(&text).unwrap();
+    for key in ["figures", "hollow", "ranking"] {
+        assert!(value.get(key).is_some(), "{key} is missing: {text}");
+    }
+    for key in ["name", "role", "points", "exponent", "at_target", "how", "budget", "ratio", "holds"] {
+        assert!(value["figures"][0].get(key).is_some(), "{key} is missing: {text}");
+    }
+    assert_eq!(value["figures"][0]["how"], "worked out");
+    let back: Report = serde_json::from_str(&text).unwrap();
+    assert_eq!(back.markdown(), report.markdown());
+    assert!(back.markdown().contains("| nodes: x | n^1 | 8 to 500 nodes | 730 us | 100 | 7.30 | worked out | `capacity --only nodes` |"), "{}", back.markdown());
+}
+
+#[test]
+fn numbers_are_printed_with_three_digits_that_count() {
+    let cases =
+        [(0.0, "0"), (1234.6, "1235"), (12.34, "12.3"), (1.234, "1.23"), (0.01234, "0.0123"), (460.0, "460")];
+    for (value, text) in cases {
+        assert_eq!(short(value), text);
+    }
+}
+
+#[test]
+fn too_few_descriptors_or_too_little_memory_is_one_line() {
+    let few = meter::check_descriptors(6000, 1024).unwrap_err();
+    assert!(few.contains("1024") && !few.contains('\n'), "{few}");
+    assert_eq!(meter::check_descriptors(6000, 20_000), Ok(()));
+    let told = "MemTotal:       24 kB\nMemAvailable:   102400 kB\n";
+    let little = meter::check_memory(200.0 * 1_048_576.0, told).unwrap_err();
+    assert!(little.contains("100 are available") && !little.contains('\n'), "{little}");
+    assert_eq!(meter::check_memory(50.0 * 1_048_576.0, told), Ok(()));
+    assert!(meter::check_memory(1.0, "").is_err());
+}
+
+#[test]
+fn a_part_that_does_not_exist_and_a_file_that_is_no_report_are_refused() {
+    let options = |only: Option<&str>, from: Option<&str>| Options {
+        json: false,
+        short: true,
+        only: only.map(String::from),
+        seed: 1,
+        markdown: false,
+        from: from.map(Into::into),
+    };
+    let why = super::run(&options(Some("nothing"), None)).unwrap_err();
+    assert!(why.contains("--only nothing") && why.contains("module") && !why.contains('\n'), "{why}");
+    let why = super::run(&options(None, Some("/dev/null"))).unwrap_err();
+    assert!(why.contains("no report"), "{why}");
+}
+
+#[test]
+fn requests_that_find_their_connection_closed_follow_from_the_time_it_is_kept() {
+    let rate = target::REQUESTS_PER_SECOND / target::CONNECTIONS;
+    assert_eq!(parts::connections::new_share(0.0, rate), 1.0);
+    let share = parts::connections::new_share(2.1, rate);
+    assert!((0.59..0.61).contains(&share), "{share}");
+    assert!(parts::connections::new_share(30.0, rate) < 0.001);
+}
+
+#[test]
+fn the_sums_need_all_of_their_parts() {
+    let one = |name: &str| Figure::worked_out(name, Role::Initiator, "bytes/s", 1000.0, "");
+    let names = [
+        "nodes: bytes both ways at rest",
+        "members: bytes both ways at rest",
+        "planners: bytes both ways on the link, by volumes in use",
+    ];
+    let all: Vec<Figure> = names.iter().map(|name| one(name)).collect();
+    assert!(together(&all[..2]).is_empty());
+    let sum = together(&all);
+    assert_eq!((sum.len(), sum[0].at_target, sum[0].holds), (1, 3000.0, Some(false)));
+}
+
+#[test]
+fn the_module_part_grows_with_nodes_and_hardly_with_volumes() {
+    let _processor = processor::shared();
+    let figures = parts::module::measure(&SHORT).unwrap();
+    check_form(&figures);
+    // Fifteen times the nodes: the ranking is on the way of every request.
+    assert!(growth(figure(&figures, "module: a request, calm")) > 2.0, "{figures:?}");
+    assert!(growth(figure(&figures, "module: a request, by volumes")) < 5.0, "{figures:?}");
+}
+
+#[test]
+fn the_nodes_part_counts_bytes_and_calls_of_the_real_client() {
+    let _processor = processor::alone();
+    let figures = parts::nodes::measure(&SHORT).unwrap();
+    check_form(&figures);
+    let whole = figure(&figures, "nodes: a whole list");
+    assert!((whole.exponent.unwrap() - 1.0).abs() < 0.1, "{whole:?}");
+    // A change names one line, however many there are; the query grows by a digit at most.
+    let change = figure(&figures, "nodes: bytes both ways of a change");
+    assert!(growth(change) < 1.5, "{change:?}");
+    // A watch waits for one second and a half: less than one call a second, and a few bytes.
+    let rest = figure(&figures, "nodes: bytes both ways at rest");
+    assert!(rest.points.iter().all(|point| point.median > 0.0 && point.median < 1000.0), "{rest:?}");
+    let lists = figure(&figures, "nodes: bytes both ways at rest, whole lists");
+    assert!(growth(lists) > 5.0, "{lists:?}");
+}
+
+#[test]
+fn the_members_part_finds_bytes_flat_and_processor_growing() {
+    let _processor = processor::shared();
+    let figures = parts::members::measure(&SHORT).unwrap();
+    check_form(&figures);
+    let bytes = figure(&figures, "members: bytes both ways at rest");
+    assert!(growth(bytes) < 2.0, "{bytes:?}");
+    assert!(growth(figure(&figures, "members: processor at rest")) > 1.0, "{figures:?}");
+}
+
+#[test]
+fn the_planners_part_counts_what_passes_on_the_real_link() {
+    let _processor = processor::alone();
+    let figures = parts::planners::measure(&SHORT).unwrap();
+    check_form(&figures);
+    // Each forwarder has as many volumes at every size.
+    let bytes = figure(&figures, "planners: bytes both ways");
+    assert!(growth(bytes) < 2.0, "{bytes:?}");
+    let link = figure(&figures, "planners: bytes both ways on the link, by volumes in use");
+    assert!(growth(link) > 2.0, "{link:?}");
+    let round = figure(&figures, "planners: a round of all plans on one core");
+    assert!(growth(round) > 2.0, "{round:?}");
+}
+
+#[test]
+fn the_connections_part_sees_idle_clients_closed() {
+    let _processor = processor::alone();
+    let figures = parts::connections::measure(&SHORT).unwrap();
+    check_form(&figures);
+    let closed = figure(&figures, "connections: idle until closed, half of them");
+    assert!(closed.points.iter().all(|point| point.median > 1.0), "{closed:?}");
+    let memory = figure(&figures, "connections: memory of those held");
+    assert!(memory.points[3].median > memory.points[0].median, "{memory:?}");
+    let share = figure(&figures, "connections: requests on a new connection");
+    assert!(share.at_target > 0.0 && share.at_target < 1.0, "{share:?}");
+}
+
+#[test]
+fn the_process_part_finds_a_connection_to_each_node() {
+    let _processor = processor::alone();
+    let figures = parts::process::measure(&SHORT).unwrap();
+    check_form(&figures);
+    let held = figure(&figures, "process: connections to nodes");
+    assert!(held.points.iter().all(|point| point.median >= point.size), "{held:?}");
+    let rest = figure(&figures, "process: memory at rest");
+    assert!(rest.points.iter().all(|point| point.median > 1_000_000.0), "{rest:?}");
+}
+
+#[test]
+fn the_regions_part_varies_zones_only() {
+    let _processor = processor::shared();
+    let figures = parts::regions::measure(&SHORT).unwrap();
+    check_form(&figures);
+    assert!(figure(&figures, "regions: a request, calm, by zones").exponent.unwrap() < 0.5, "{figures:?}");
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The laboratory's commands: stand-ins around the real program, experiments, and checkers of the rules.
 
 mod arguments;
+mod capacity;
 mod check;
 mod drains;
 mod load;
@@ -42,6 +43,11 @@
     Planners(arguments::Common),
     /// Shares of forwarders and planners in virtual time: faults, skewed use, outages, scale.
     PlannersSim(arguments::Parts),
+    /// How each cost grows with the fleet, against the size that operators expect.
+    Capacity(capacity::Options),
+    /// What `capacity` measures in a process of its own.
+    #[command(hide = true)]
+    CapacityChild(capacity::child::Options),
 }
 
 fn main() -> ExitCode {
@@ -55,6 +61,8 @@
         Command::Vrrp(arguments) => vrrp::experiments::run(&arguments),
         Command::Planners(arguments) => planners::processes::run(&arguments),
         Command::PlannersSim(arguments) => planners::simulation::run(&arguments),
+        Command::Capacity(options) => capacity::run(&options),
+        Command::CapacityChild(options) => capacity::child::run(&options),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/lab/src/planners/simulation.rs
+++ b/lab/src/planners/simulation.rs
@@ -213,18 +213,24 @@
     Ok(json!(part))
 }
 
-struct Round {
-    p50: f64,
-    p99: f64,
-    most: f64,
-    round: f64,
-    bytes: f64,
-    probes: f64,
-    memory: f64,
+/// What a round of reports cost, on the mean.
+pub struct Round {
+    /// Time of one plan, in microseconds.
+    pub p50: f64,
+    pub p99: f64,
+    pub most: f64,
+    /// Time of all plans of all planners, in milliseconds.
+    pub round: f64,
+    /// Reports and plans, a forwarder.
+    pub bytes: f64,
+    /// Probers a node.
+    pub probes: f64,
+    /// Megabytes that both ends came to.
+    pub memory: f64,
 }
 
 /// Some rounds of reports in virtual time, with leads that move; what the later ones cost.
-fn rounds(forwarders: usize, nodes: usize, volumes: usize, planners: usize) -> Round {
+pub fn rounds(forwarders: usize, nodes: usize, volumes: usize, planners: usize) -> Round {
     let names: Vec<u64> = (0..planners).map(|at| deal::hash(&format!("p-{at}"))).collect();
     let node_keys: Vec<u64> = (0..nodes).map(|at| deal::hash(&format!("n-{at}"))).collect();
     let before = resident();
