--- a/lab/src/capacity/initiator.rs
+++ b/lab/src/capacity/initiator.rs
@@ -23,6 +23,16 @@
     pub zones: usize,
     /// Planners; none: it has its even parts.
     pub planners: Vec<SocketAddr>,
+    /// Its file for membership; none: it is no member.
+    pub fleet: Option<String>,
+}
+
+impl Setup {
+    /// One of the target's fleet, alone with discovery.
+    pub fn of(discovery: SocketAddr, zones: usize) -> Setup {
+        let initiators = super::target::INITIATORS as usize;
+        Setup { discovery, initiators, zones, planners: Vec::new(), fleet: None }
+    }
 }
 
 /// A running initiator; its process ends with this.
@@ -71,10 +81,14 @@
             let text = format!("enabled = true\nplanners = {planners:?}\n");
             std::fs::write(folder.join("planners.toml"), text).map_err(told)?;
         }
+        if let Some(fleet) = &setup.fleet {
+            std::fs::write(folder.join("fleet.toml"), fleet).map_err(told)?;
+        }
         let mut command = Command::new(program);
         command.env("NODE_CONFIG", folder.join("config.json")).env("TMPDIR", &folder);
         command.env("TOPAZPATH_PLANNERS", folder.join("planners.toml"));
-        for file in ["TOPAZPATH_ISCSI", "TOPAZPATH_VRRP", "TOPAZPATH_FLEET"] {
+        command.env("TOPAZPATH_FLEET", folder.join("fleet.toml"));
+        for file in ["TOPAZPATH_ISCSI", "TOPAZPATH_VRRP"] {
             command.env(file, folder.join("none"));
         }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
@@ -112,10 +126,14 @@
         super::meter::resident(self.process())
     }
 
+    /// What it answers to a command on a connection of its own.
+    pub fn ask(&self, words: &[&[u8]]) -> Result<String, String> {
+        Client::connect(self.listen)?.ask(&topazpath::resp::command(words))
+    }
+
     /// A count of its `INFO`, by name.
     pub fn count(&self, name: &str) -> Result<f64, String> {
-        let mut client = Client::connect(self.listen)?;
-        let text = client.ask(&topazpath::resp::command(&[b"INFO"]))?;
+        let text = self.ask(&[b"INFO"])?;
         let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix([':', ' ', '=']));
         value
             .and_then(|value| value.trim().parse().ok())
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -21,6 +21,7 @@
 use figure::{Figure, Role};
 use report::Report;
 use scale::Scale;
+use serde_json::Value;
 use std::path::PathBuf;
 
 /// Measures one part.
@@ -38,6 +39,12 @@
     ("regions", parts::regions::measure),
 ];
 
+/// Plays hollow initiators, where that is built in.
+type Hollow = fn(&Scale) -> Result<Value, String>;
+
+/// The run of hollow initiators, by the name `hollow`.
+const HOLLOW: Option<Hollow> = None;
+
 /// Memory that the largest sizes take, with some to spare, in short and in full.
 const MEMORY_BYTES: (f64, f64) = (512.0 * 1_048_576.0, 2048.0 * 1_048_576.0);
 
@@ -92,8 +99,10 @@
 fn measure(options: &Options) -> Result<Report, String> {
     let scale = Scale { short: options.short, seed: options.seed };
     let wanted = |name: &str| options.only.as_deref().is_none_or(|only| only == name);
-    if !PARTS.iter().any(|(name, _)| wanted(name)) {
-        let names: Vec<&str> = PARTS.iter().map(|(name, _)| *name).collect();
+    let hollow = HOLLOW.filter(|_| wanted("hollow"));
+    if hollow.is_none() && !PARTS.iter().any(|(name, _)| wanted(name)) {
+        let names = PARTS.iter().map(|(name, _)| *name).chain(HOLLOW.map(|_| "hollow"));
+        let names: Vec<&str> = names.collect();
         let only = options.only.as_deref().unwrap_or_default();
         return Err(format!("--only {only}: one of {} is allowed", names.join(", ")));
     }
@@ -107,6 +116,13 @@
             Err(why) => report.not_run.push(format!("{name}: {why}")),
         }
     }
+    if let Some(play) = hollow {
+        eprintln!("capacity: hollow");
+        match play(&scale) {
+            Ok(played) => report.hollow = played,
+            Err(why) => report.not_run.push(format!("hollow: {why}")),
+        }
+    }
     report.figures.extend(together(&report.figures));
     report.ranking = report::rank(&report.figures, &target::LINES);
     Ok(report)
--- a/lab/src/capacity/parts/configuration.rs
+++ b/lab/src/capacity/parts/configuration.rs
@@ -58,7 +58,7 @@
 /// A document of so many keys, one in each plan.
 pub fn document(keys: usize) -> Document {
     let figures =
-        |number: usize| PlanFigures { ceiling_rate: Some(100.0 + number as f64), ..PlanFigures::default() };
+        |number: usize| PlanFigures { guaranteed: Some(100.0 + number as f64), ..PlanFigures::default() };
     Document {
         plans: (0..keys).map(|number| (name(number), figures(number))).collect(),
         ..Document::default()
@@ -85,7 +85,7 @@
 fn costs(keys: usize, scale: &Scale) -> Result<Costs, String> {
     let older = document(keys);
     let mut newer = older.clone();
-    newer.plans.insert(name(keys / 2), PlanFigures { ceiling_rate: Some(7.0), ..PlanFigures::default() });
+    newer.plans.insert(name(keys / 2), PlanFigures { guaranteed: Some(7.0), ..PlanFigures::default() });
     let (base, names) = settings(keys);
     let mut costs = Costs::default();
     let each = |seconds: f64| seconds * 1e6 / f64::from(RUNS);
--- a/lab/src/capacity/parts/connections.rs
+++ b/lab/src/capacity/parts/connections.rs
@@ -155,9 +155,7 @@
 fn start() -> Result<(Discovery, Initiator), String> {
     let discovery = Discovery::start(own_address(2), unreachable_nodes(NODES, 1), Answers::Changes)
         .map_err(|error| format!("discovery: {error}"))?;
-    let initiators = target::INITIATORS as usize;
-    let setup = Setup { discovery: discovery.address, initiators, zones: 1, planners: Vec::new() };
-    let initiator = Initiator::start(&setup)?;
+    let initiator = Initiator::start(&Setup::of(discovery.address, 1))?;
     discovery.wait_until_taken(Duration::from_secs(20))?;
     Ok((discovery, initiator))
 }
--- a/lab/src/capacity/parts/members.rs
+++ b/lab/src/capacity/parts/members.rs
@@ -5,6 +5,7 @@
 use super::super::meter::timed;
 use super::super::scale::Scale;
 use super::super::target;
+use super::real_members;
 use std::time::Duration;
 
 /// What one size came to, a value for each repeat; a member and virtual second.
@@ -26,7 +27,7 @@
         let points = all.iter().map(|(size, costs)| Point::of(*size, values(costs))).collect();
         Figure::new(name, Role::Initiator, "members", unit, points, target::INITIATORS)
     };
-    Ok(vec![
+    let mut figures = vec![
         figure("members: processor at rest", "us/s", |costs| &costs.processor_us)
             .times(1e-6, "of a core")
             .within(target::CONTROL_CORES)
@@ -35,7 +36,9 @@
             .within(target::CONTROL_BYTES_PER_SECOND)
             .note("sent and received are the same on the mean; payload of the datagrams"),
         figure("members: datagrams both ways at rest", "datagrams/s", |costs| &costs.datagrams),
-    ])
+    ];
+    figures.extend(real_members::measure(scale)?);
+    Ok(figures)
 }
 
 fn costs(size: usize, scale: &Scale) -> Result<Costs, String> {
--- a/lab/src/capacity/parts/mod.rs
+++ b/lab/src/capacity/parts/mod.rs
@@ -7,4 +7,5 @@
 pub mod nodes;
 pub mod planners;
 pub mod process;
+mod real_members;
 pub mod regions;
--- a/lab/src/capacity/parts/nodes.rs
+++ b/lab/src/capacity/parts/nodes.rs
@@ -153,9 +153,7 @@
     let zones = target::ZONES as usize;
     let discovery = Discovery::start(own_address(2), unreachable_nodes(nodes, zones), answers)
         .map_err(|error| format!("discovery: {error}"))?;
-    let (discovery_address, initiators) = (discovery.address, target::INITIATORS as usize);
-    let setup = InitiatorSetup { discovery: discovery_address, initiators, zones, planners: Vec::new() };
-    let initiator = Initiator::start(&setup)?;
+    let initiator = Initiator::start(&InitiatorSetup::of(discovery.address, zones))?;
     discovery.wait_until_taken(PATIENCE)?;
     let sum = |traffic: Traffic| (traffic.read + traffic.written) as f64;
     let mut seen = Conversation::default();
--- a/lab/src/capacity/parts/planners.rs
+++ b/lab/src/capacity/parts/planners.rs
@@ -18,7 +18,8 @@
 const INTERVAL_MS: f64 = 100.0;
 /// Stand-in nodes behind the real initiator.
 const NODES: usize = 8;
-/// The link, the first plans and the five seconds in which a new forwarder cedes nothing are over by then.
+/// A new forwarder cedes nothing for five seconds: it is watched for some of them, and again once they are over.
+const YOUNG: Duration = Duration::from_secs(3);
 const SETTLED: Duration = Duration::from_secs(6);
 
 /// All figures of the part.
@@ -111,26 +112,22 @@
 struct Link {
     rest_bytes: Vec<f64>,
     rest_processor: Vec<f64>,
+    young_processor: Vec<f64>,
     loaded_bytes: Vec<f64>,
     planner_memory: Vec<f64>,
 }
 
 fn link(scale: &Scale) -> Result<Vec<Figure>, String> {
-    let mut by_planners = Vec::new();
-    for planners in [1, 2, 3, 5] {
-        by_planners.push((planners as f64, stretch(planners, None, scale)?));
-    }
+    let by_planners = side_by_side(&[1, 2, 3, 5], |planners| stretch(planners as usize, None, scale))?;
     let volume_sizes: &[u64] = scale.pick(&[1, 5, 20, 65], &[1, 10, 30, 65, 200, 600]);
-    let mut by_volumes = Vec::new();
-    for volumes in volume_sizes {
-        by_volumes.push((*volumes as f64, stretch(target::PLANNERS, Some(*volumes), scale)?));
-    }
+    let by_volumes = side_by_side(volume_sizes, |volumes| stretch(target::PLANNERS, Some(volumes), scale))?;
     let points = |all: &[(f64, Link)], values: fn(&Link) -> &Vec<f64>| -> Vec<Point> {
         all.iter().map(|(size, link)| Point::of(*size, values(link))).collect()
     };
     let planners = target::PLANNERS as f64;
     let rest = points(&by_planners, |link| &link.rest_bytes);
     let processor = points(&by_planners, |link| &link.rest_processor);
+    let young = points(&by_planners, |link| &link.young_processor);
     let loaded = points(&by_volumes, |link| &link.loaded_bytes);
     let memory = points(&by_volumes, |link| &link.planner_memory);
     let name = "planners: bytes both ways on the link, by volumes in use";
@@ -154,6 +151,15 @@
             planners,
         )
         .within(target::CONTROL_CORES)
+        .note("the whole real process without requests, from 6 s after its start on"),
+        Figure::new(
+            "planners: processor of a forwarder in its first 3 s",
+            Role::Initiator,
+            "planners",
+            "of a core",
+            young,
+            planners,
+        )
         .note("the whole real process without requests"),
         Figure::new(
             name,
@@ -177,6 +183,23 @@
     ])
 }
 
+/// Measures all sizes at the same time: none of them takes much of a core.
+fn side_by_side(
+    sizes: &[u64],
+    measure: impl Fn(u64) -> Result<Link, String> + Sync,
+) -> Result<Vec<(f64, Link)>, String> {
+    std::thread::scope(|scope| {
+        let measure = &measure;
+        let start = |size: &u64| {
+            let size = *size;
+            scope.spawn(move || measure(size).map(|link| (size as f64, link)))
+        };
+        let running: Vec<_> = sizes.iter().map(start).collect();
+        let ended = running.into_iter().map(|it| it.join());
+        ended.map(|it| it.unwrap_or_else(|_| Err("planners: a thread panicked".into()))).collect()
+    })
+}
+
 /// A real initiator and planners: at rest, or with reads of so many volumes.
 fn stretch(planners: usize, volumes: Option<u64>, scale: &Scale) -> Result<Link, String> {
     let told = |error: std::io::Error| error.to_string();
@@ -184,8 +207,7 @@
     let nodes = Nodes::start(own_address(5), NODES, Duration::ZERO).map_err(told)?;
     let lines = nodes.addresses.iter().map(|address| Line { address: *address, zone: 0 }).collect();
     let discovery = Discovery::start(own_address(2), lines, Answers::Changes).map_err(told)?;
-    let initiators = target::INITIATORS as usize;
-    let setup = Setup { discovery: discovery.address, initiators, zones: 1, planners: planners.addresses() };
+    let setup = Setup { planners: planners.addresses(), ..Setup::of(discovery.address, 1) };
     let initiator = Initiator::start(&setup)?;
     discovery.wait_until_taken(Duration::from_secs(20))?;
     let mut load = volumes.map(|volumes| Load::start(&initiator, volumes, NODES as u64)).transpose()?;
@@ -196,11 +218,14 @@
             Ok(())
         }
     };
-    watch(scale.pick(Duration::from_secs(1), SETTLED))?;
+    let (start, before) = (Instant::now(), initiator.processor());
+    watch(YOUNG)?;
+    let young = (initiator.processor() - before) / start.elapsed().as_secs_f64();
+    watch(SETTLED - YOUNG)?;
     if !planners.are_connected() {
         return Err("planners: the initiator did not connect to all of them".into());
     }
-    let mut link = Link::default();
+    let mut link = Link { young_processor: vec![young], ..Link::default() };
     for _ in 0..scale.repeats() {
         let (start, bytes, processor) = (Instant::now(), planners.bytes(), initiator.processor());
         watch(scale.pick(Duration::from_millis(700), Duration::from_secs(3)))?;
--- a/lab/src/capacity/parts/process.rs
+++ b/lab/src/capacity/parts/process.rs
@@ -132,9 +132,7 @@
     let zones = lines.iter().map(|line| line.zone + 1).max().unwrap_or(1);
     let discovery = Discovery::start(own_address(2), lines, Answers::Changes)
         .map_err(|error| format!("discovery: {error}"))?;
-    let initiators = target::INITIATORS as usize;
-    let setup = Setup { discovery: discovery.address, initiators, zones, planners: Vec::new() };
-    let initiator = Initiator::start(&setup)?;
+    let initiator = Initiator::start(&Setup::of(discovery.address, zones))?;
     discovery.wait_until_taken(PATIENCE)?;
     Ok((discovery, initiator))
 }
--- a/lab/src/capacity/report.rs
+++ b/lab/src/capacity/report.rs
@@ -111,12 +111,12 @@
         })
         .collect();
     format!(
-        "{}  [{}] by {}: {}  ~n^{} residual {}  at {}: {} {} ({}) {}",
+        "{}  [{}] by {}: {}  ~{} residual {}  at {}: {} {} ({}) {}",
         figure.name,
         figure.unit,
         figure.axis,
         points.join(", "),
-        optional(figure.exponent),
+        slope(figure),
         optional(figure.residual),
         short(figure.target_size),
         short(figure.at_target),
@@ -142,12 +142,12 @@
         [one] => short(one.size),
         [first, .., last] => format!("{} to {} {}", short(first.size), short(last.size), figure.axis),
     };
-    let slope = figure.exponent.map_or("-".into(), |exponent| format!("n^{}", short(exponent)));
     let part = figure.name.split(':').next().unwrap_or_default();
     let note = if figure.note.is_empty() { String::new() } else { format!(" ({})", figure.note) };
     format!(
-        "| {}{note} | {slope} | {sizes} | {} {} | {} | {} | {} | `capacity --only {part}` |",
+        "| {}{note} | {} | {sizes} | {} {} | {} | {} | {} | `capacity --only {part}` |",
         figure.name,
+        slope(figure),
         short(figure.at_target),
         figure.target_unit,
         optional(figure.budget),
@@ -156,6 +156,15 @@
     )
 }
 
+/// The law's exponent, to two places.
+fn slope(figure: &Figure) -> String {
+    // Without the sign of a zero.
+    figure
+        .exponent
+        .map_or("-".into(), |exponent| format!("n^{:.2}", exponent + 0.0))
+        .replace("n^-0.00", "n^0.00")
+}
+
 fn optional(value: Option<f64>) -> String {
     value.map_or("-".into(), short)
 }
--- a/lab/src/capacity/tests.rs
+++ b/lab/src/capacity/tests.rs
@@ -130,7 +130,7 @@
     assert_eq!(value["figures"][0]["how"], "worked out");
     let back: Report = serde_json::from_str(&text).unwrap();
     assert_eq!(back.markdown(), report.markdown());
-    assert!(back.markdown().contains("| nodes: x | n^1 | 8 to 500 nodes | 730 us | 100 | 7.30 | worked out | `capacity --only nodes` |"), "{}", back.markdown());
+    assert!(back.markdown().contains("| nodes: x | n^1.00 | 8 to 500 nodes | 730 us | 100 | 7.30 | worked out | `capacity --only nodes` |"), "{}", back.markdown());
 }
 
 #[test]
@@ -222,12 +222,16 @@
 
 #[test]
 fn the_members_part_finds_bytes_flat_and_processor_growing() {
-    let _processor = processor::shared();
+    let _processor = processor::alone();
     let figures = parts::members::measure(&SHORT).unwrap();
     check_form(&figures);
     let bytes = figure(&figures, "members: bytes both ways at rest");
     assert!(growth(bytes) < 2.0, "{bytes:?}");
     assert!(growth(figure(&figures, "members: processor at rest")) > 1.0, "{figures:?}");
+    // What the members count at their sockets is what the simulation counts; they say less while they are few.
+    let real = figure(&figures, "members: bytes both ways of a real process at rest");
+    let ratio = real.points[3].median / bytes.points[1].median;
+    assert!((0.3..3.0).contains(&ratio), "{real:?} {bytes:?}");
 }
 
 #[test]
@@ -275,3 +279,15 @@
     check_form(&figures);
     assert!(figure(&figures, "regions: a request, calm, by zones").exponent.unwrap() < 0.5, "{figures:?}");
 }
+
+#[test]
+fn the_configuration_part_finds_a_change_far_below_the_whole() {
+    let _processor = processor::shared();
+    let figures = parts::configuration::measure(&SHORT).unwrap();
+    check_form(&figures);
+    let whole = figure(&figures, "configuration: a whole document");
+    assert!((whole.exponent.unwrap() - 1.0).abs() < 0.3, "{whole:?}");
+    let change = figure(&figures, "configuration: a change of one key");
+    assert!(growth(change) < 1.1, "{change:?}");
+    assert!(change.points[3].median < whole.points[3].median, "{change:?}");
+}
