--- a/lab/src/capacity/child.rs
+++ b/lab/src/capacity/child.rs
@@ -4,6 +4,7 @@
 use crate::planners::simulation::rounds;
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
+use std::sync::OnceLock;
 
 /// Forwarders, nodes and volumes that a child takes at most.
 const MOST_FORWARDERS: usize = 4096;
@@ -63,8 +64,14 @@
     text.trim().parse().map_err(|_| format!("a child for {sizes:?} answered {text:?}"))
 }
 
-/// This program. Tests are another one, which lies beside it.
+/// This program, built once where this was started by a test.
 fn own_program() -> Result<PathBuf, String> {
+    static PROGRAM: OnceLock<Result<PathBuf, String>> = OnceLock::new();
+    PROGRAM.get_or_init(find_own_program).clone()
+}
+
+/// This program. Tests are another one, which lies beside it.
+fn find_own_program() -> Result<PathBuf, String> {
     let own = std::env::current_exe().map_err(|error| error.to_string())?;
     let folder = own.parent().ok_or("this program lies nowhere")?;
     if !folder.ends_with("deps") {
--- a/lab/src/capacity/initiator.rs
+++ b/lab/src/capacity/initiator.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
 /// How long a process may take to start, or to answer.
@@ -67,10 +68,16 @@
     Ok(folder)
 }
 
+/// The program, built once where this was started by cargo.
+pub fn program() -> Result<PathBuf, String> {
+    static PROGRAM: OnceLock<Result<PathBuf, String>> = OnceLock::new();
+    PROGRAM.get_or_init(crate::vrrp::experiments::program).clone()
+}
+
 impl Initiator {
     /// Starts one, and waits until it lets clients in.
     pub fn start(setup: &Setup) -> Result<Initiator, String> {
-        let program = crate::vrrp::experiments::program()?;
+        let program = program()?;
         let told = |error: std::io::Error| error.to_string();
         let listen =
             TcpListener::bind((own_address(1), 0)).and_then(|free| free.local_addr()).map_err(told)?;
--- a/lab/src/capacity/planner_processes.rs
+++ b/lab/src/capacity/planner_processes.rs
@@ -1,6 +1,6 @@
 //! Real planners as processes, each behind a relay that counts what passes.
 
-use super::initiator::{own_address, own_folder};
+use super::initiator::{own_address, own_folder, program};
 use super::relay::Relay;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
@@ -32,7 +32,7 @@
 impl Planners {
     /// Starts so many, and waits until each lets forwarders in.
     pub fn start(count: usize) -> Result<Planners, String> {
-        let program = crate::vrrp::experiments::program()?.with_file_name("topazpath-planner");
+        let program = program()?.with_file_name("topazpath-planner");
         let told = |error: std::io::Error| error.to_string();
         let ip = own_address(3);
         let tcp: Vec<TcpListener> =
--- a/lab/src/capacity/tests.rs
+++ b/lab/src/capacity/tests.rs
@@ -83,6 +83,10 @@
     let (beyond, origin) = cost_at(&linear, 730.0).unwrap();
     assert!((beyond - 1460.0).abs() < 1e-6 && origin == Origin::WorkedOut, "{beyond}");
     assert_eq!(cost_at(&[], 730.0), None);
+    assert_eq!(cost_at(&linear, 505.0), Some((1000.0, Origin::Measured)), "as good as the point at 500");
+    // What does not grow shows at small sizes only: the largest three decide.
+    let fixed = points(|size| if size < 60.0 { 120.0 } else { 2.0 * size });
+    assert!((cost_at(&fixed, 730.0).unwrap().0 - 1460.0).abs() < 1e-6);
 }
 
 #[test]
