--- a/lab/src/capacity/decision.rs
+++ b/lab/src/capacity/decision.rs
@@ -117,6 +117,15 @@
         self.handle(&[Event::List { kind: ListKind::Delta, entries }]);
     }
 
+    /// Another limit for every volume comes into force.
+    pub fn reconfigure(&mut self, rate: f64) -> Result<(), String> {
+        let mut changed = settings(self.setup);
+        for limit in changed.plans.iter_mut().filter_map(|plan| plan.limit.as_mut()) {
+            limit.rate = rate;
+        }
+        self.scheduler.reconfigure(self.now, changed).map_err(|why| format!("reconfigure: {why:?}"))
+    }
+
     fn handle(&mut self, events: &[Event]) {
         let mut actions = Vec::new();
         self.scheduler.handle(self.now, events, &mut actions);
--- a/lab/src/capacity/parts/configuration.rs
+++ b/lab/src/capacity/parts/configuration.rs
@@ -1,10 +1,12 @@
 //! Live configuration: what a document and a change weigh, and what it takes to check, to apply and to take over.
 
+use super::super::decision::{self, Setup, World};
 use super::super::figure::{Figure, Point, Role};
 use super::super::meter::timed;
 use super::super::scale::Scale;
 use super::super::target;
 use std::hint::black_box;
+use std::time::Duration;
 use topazpath::interface::{Plan, Settings};
 use topazpath::revisions::delta::Delta;
 use topazpath::revisions::document::{Document, Names, PlanFigures};
@@ -12,6 +14,11 @@
 
 /// Runs of what takes a few microseconds.
 const RUNS: u32 = 10;
+/// Nodes listed while limits are taken over, and the time between two requests.
+const NODES: u32 = 60;
+const GAP: Duration = Duration::from_millis(1);
+/// Units a second that the new limits let through, more than is asked for.
+const LIMIT_RATE: f64 = 100_001.0;
 
 /// What one size came to, a value for each repeat.
 #[derive(Default)]
@@ -34,6 +41,7 @@
         let points = all.iter().map(|(size, costs)| Point::of(*size, values(costs))).collect();
         Figure::new(name, role, "keys", unit, points, target::CONFIGURATION_KEYS)
     };
+    let taken_over = take_over(scale)?;
     let initiator = Role::Initiator;
     let a_second = target::CHANGES_PER_DAY / target::DAY_S;
     Ok(vec![
@@ -45,12 +53,39 @@
             .note("550 changes a day; the message without the link's head and the answer"),
         figure("configuration: check", Role::Operator, "us", |costs| &costs.check_us),
         figure("configuration: apply", initiator, "us", |costs| &costs.apply_us),
+        Figure::new(
+            "configuration: the module takes over another limit",
+            initiator,
+            "volumes",
+            "us",
+            taken_over,
+            target::VOLUMES_PER_INITIATOR,
+        ),
         figure("configuration: difference of two documents", Role::Planner, "us", |costs| {
             &costs.difference_us
         }),
     ])
 }
 
+/// The module's takeover of a limit that holds for every volume, by volumes that were asked for.
+fn take_over(scale: &Scale) -> Result<Vec<Point>, String> {
+    let sizes: &[u64] = scale.pick(&[10, 30, 65, 200], &[10, 65, 1000, 10_000, 30_000]);
+    let mut points = Vec::new();
+    for volumes in sizes {
+        let mut world = World::new(Setup { volumes: *volumes, limited: true, ..Setup::of(NODES) });
+        (0..*volumes).for_each(|_| world.request(GAP, false));
+        let mut repeats = Vec::new();
+        for _ in 0..scale.repeats() {
+            let rate = |run: u32| LIMIT_RATE + f64::from(run % 2);
+            let (done, seconds) = timed(|| (0..RUNS).try_for_each(|run| world.reconfigure(rate(run))))?;
+            done?;
+            repeats.push(seconds * 1e6 / f64::from(RUNS));
+        }
+        points.push(Point::of(*volumes as f64, &repeats));
+    }
+    Ok(points)
+}
+
 fn name(number: usize) -> String {
     format!("plan-{number:04}")
 }
@@ -68,7 +103,7 @@
 /// Settings that have the document's plans.
 fn settings(keys: usize) -> (Settings, Names) {
     let plan = Plan { reserve: 0.0, limit: None, weight: 1.0, price: 1.0 };
-    let base = super::super::decision::settings(super::super::decision::Setup::of(8));
+    let base = decision::settings(Setup::of(8));
     let mut settings = Settings { plans: vec![plan; keys], ..base };
     settings.units.base_rates = vec![10.0; keys];
     let classes = (0..settings.classes.len()).map(|number| format!("class-{number}")).collect();
