--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The laboratory's commands: stand-ins around the real program, experiments, and checkers of the rules.
 
 mod arguments;
+mod capacity;
 mod check;
 mod drains;
 mod hollow;
@@ -56,6 +57,11 @@
     /// A process with many hollow initiators, started by `hollow`.
     #[command(hide = true)]
     HollowWorker,
+    /// How each cost grows with the fleet, against the size that operators expect.
+    Capacity(capacity::Options),
+    /// What `capacity` measures in a process of its own.
+    #[command(hide = true)]
+    CapacityChild(capacity::child::Options),
 }
 
 fn main() -> ExitCode {
@@ -72,6 +78,8 @@
         Command::RevisionsSim(arguments) => revisions::simulation::run(&arguments),
         Command::Hollow { options, common } => hollow::command(&options, &common),
         Command::HollowWorker => hollow::worker::run(),
+        Command::Capacity(options) => capacity::run(&options),
+        Command::CapacityChild(options) => capacity::child::run(&options),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
