--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -18,6 +18,8 @@
 mod scale;
 mod target;
 
+use crate::arguments::Common;
+use crate::hollow;
 use figure::{Figure, Role};
 use report::Report;
 use scale::Scale;
@@ -39,11 +41,8 @@
     ("regions", parts::regions::measure),
 ];
 
-/// Plays hollow initiators, where that is built in.
-type Hollow = fn(&Scale) -> Result<Value, String>;
-
-/// The run of hollow initiators, by the name `hollow`.
-const HOLLOW: Option<Hollow> = None;
+/// The name of the run of hollow initiators among the parts.
+const HOLLOW: &str = "hollow";
 
 /// Memory that the largest sizes take, with some to spare, in short and in full.
 const MEMORY_BYTES: (f64, f64) = (512.0 * 1_048_576.0, 2048.0 * 1_048_576.0);
@@ -99,10 +98,8 @@
 fn measure(options: &Options) -> Result<Report, String> {
     let scale = Scale { short: options.short, seed: options.seed };
     let wanted = |name: &str| options.only.as_deref().is_none_or(|only| only == name);
-    let hollow = HOLLOW.filter(|_| wanted("hollow"));
-    if hollow.is_none() && !PARTS.iter().any(|(name, _)| wanted(name)) {
-        let names = PARTS.iter().map(|(name, _)| *name).chain(HOLLOW.map(|_| "hollow"));
-        let names: Vec<&str> = names.collect();
+    if !wanted(HOLLOW) && !PARTS.iter().any(|(name, _)| wanted(name)) {
+        let names: Vec<&str> = PARTS.iter().map(|(name, _)| *name).chain([HOLLOW]).collect();
         let only = options.only.as_deref().unwrap_or_default();
         return Err(format!("--only {only}: one of {} is allowed", names.join(", ")));
     }
@@ -116,11 +113,11 @@
             Err(why) => report.not_run.push(format!("{name}: {why}")),
         }
     }
-    if let Some(play) = hollow {
-        eprintln!("capacity: hollow");
-        match play(&scale) {
+    if wanted(HOLLOW) {
+        eprintln!("capacity: {HOLLOW}");
+        match play_hollow(&scale) {
             Ok(played) => report.hollow = played,
-            Err(why) => report.not_run.push(format!("hollow: {why}")),
+            Err(why) => report.not_run.push(format!("{HOLLOW}: {why}")),
         }
     }
     report.figures.extend(together(&report.figures));
@@ -128,6 +125,13 @@
     Ok(report)
 }
 
+/// Plays a whole fleet of hollow and real initiators; what missed its budget in it is told in its scenes.
+fn play_hollow(scale: &Scale) -> Result<Value, String> {
+    let common = Common { short: scale.short, json: true, seed: scale.seed };
+    let played = hollow::run(&hollow::Options::default().sizes(&common)?)?;
+    serde_json::to_value(&played).map_err(|error| error.to_string())
+}
+
 /// An error, before anything is started, if the machine allows less than the run needs.
 fn check(scale: &Scale, connections: bool) -> Result<(), String> {
     meter::need_memory(scale.pick(MEMORY_BYTES.0, MEMORY_BYTES.1))?;
--- a/lab/src/hollow/mod.rs
+++ b/lab/src/hollow/mod.rs
@@ -40,6 +40,10 @@
 const DESCRIPTORS: usize = 9;
 const REAL_DESCRIPTORS: usize = 160;
 const OTHER_DESCRIPTORS: usize = 512;
+/// Volumes with a limit over the fleet, where hollow initiators are asked for any.
+const VOLUMES_OF: u64 = 1000;
+/// Requests a second of each real initiator that serves.
+const RATE: f64 = 20.0;
 
 /// What is asked of a run.
 #[derive(Args, Clone)]
@@ -63,10 +67,10 @@
     #[arg(long, default_value_t = 0)]
     pub volumes: usize,
     /// Such volumes over the fleet.
-    #[arg(long, default_value_t = 1000)]
+    #[arg(long, default_value_t = VOLUMES_OF)]
     pub volumes_of: u64,
     /// Requests a second of each real initiator that serves.
-    #[arg(long, default_value_t = 20.0)]
+    #[arg(long, default_value_t = RATE)]
     pub rate: f64,
     /// Seconds at rest (60; with --short 10).
     #[arg(long)]
@@ -113,6 +117,26 @@
     pub only: Vec<String>,
 }
 
+impl Default for Options {
+    /// What the command line does without options.
+    fn default() -> Self {
+        Options {
+            initiators: None,
+            real: None,
+            nodes: None,
+            alive: None,
+            workers: None,
+            volumes: 0,
+            volumes_of: VOLUMES_OF,
+            rate: RATE,
+            rest_s: None,
+            cut_s: None,
+            at_once: false,
+            only: Vec::new(),
+        }
+    }
+}
+
 impl Options {
     /// The sizes, or one line that says what is not allowed.
     pub fn sizes(&self, common: &Common) -> Result<Sizes, String> {
