--- a/lab/src/hollow/initiator.rs
+++ b/lab/src/hollow/initiator.rs
@@ -75,11 +75,12 @@
         let config = Config::read(&files::paths(folder))?;
         let clock = Clock::start();
         let settings = config.settings.clone();
+        let names = config.live_configuration.then(|| config.names());
         let planners = Planners::new(
             &config.planners,
             config.partitions,
             &config.name,
-            settings.clone(),
+            (settings.clone(), names),
             config.seed,
             (clock, now),
             tokens,
@@ -146,11 +147,23 @@
             self.planner_lines = lines;
             told.extend(self.new_revision(&json));
         }
+        self.follow_configuration(now);
         self.decide(now);
         self.due = self.next_timer(now);
         told
     }
 
+    /// Takes over the newest revision that planners have sent, as the program's loop does.
+    fn follow_configuration(&mut self, now: Instant) {
+        let Some(prepared) = self.planners.prepared_configuration() else { return };
+        if let Err(why) = self.scheduler.reconfigure(now, prepared.settings.clone()) {
+            return self.planners.configuration_not_taken_over(&prepared, why.to_string());
+        }
+        let out = self.nodes.configure_out(now, self.clock.unix(now), &prepared.nodes_out);
+        out.into_iter().for_each(|event| self.core.tell(event));
+        self.planners.configuration_taken_over(now, &prepared);
+    }
+
     /// A revision that is in force since the last report. So its time is late by up to the pause between two reports.
     fn new_revision(&mut self, report: &str) -> Option<Told> {
         let (number, hash) = files::revision(report)?;
--- a/src/revisions/agreement.rs
+++ b/src/revisions/agreement.rs
@@ -74,7 +74,6 @@
 
 /// What happens to a replica.
 #[derive(Clone, Debug, PartialEq)]
-#[expect(clippy::large_enum_variant, reason = "events are handed over one at a time and never kept")]
 pub enum Event {
     /// A message of another voter has come, as [`Action::Send`] gave it there.
     Message(Vec<u8>),
