--- a/lab/src/hollow/initiator.rs
+++ b/lab/src/hollow/initiator.rs
@@ -174,23 +174,19 @@
 
     /// What the scheduler is told, until nothing more happens at once.
     fn decide(&mut self, now: Instant) {
-        let asked = self.requests_due(now);
+        let mut asked = self.requests_due(now);
         loop {
             let mut events = self.core.drain_events();
-            if events.is_empty() && asked.is_empty() {
-                return;
-            }
             let shares = self.planners.before(now, &asked);
+            asked.clear();
             events.splice(0..0, shares);
-            if !events.is_empty() {
-                let actions = self.scheduler.decide(now, &events);
-                self.core.carry_out(now, actions);
+            if events.is_empty() {
+                return;
             }
+            let actions = self.scheduler.decide(now, &events);
+            self.core.carry_out(now, actions);
             // There is no request that an effect could be for.
             self.core.drain_effects();
-            if !asked.is_empty() {
-                return;
-            }
         }
     }
 
--- a/src/forwarder/configuration/tests.rs
+++ b/src/forwarder/configuration/tests.rs
@@ -231,3 +231,15 @@
     forwarder.targets.tick(now + Duration::from_millis(2100));
     assert_eq!(forwarder.targets.ended.len(), 1);
 }
+
+/// Guards the processor: what planners may change by themselves is looked at while no request comes.
+#[test]
+fn planners_wake_a_loop_without_requests_only_when_something_is_due() {
+    let folder = Folder::new("idle");
+    let mut forwarder = start(&folder);
+    let now = Instant::now();
+    let registry = forwarder.poll.registry().try_clone().unwrap();
+    forwarder.planners.as_mut().unwrap().tick(now, &registry);
+    forwarder.plan(now);
+    assert!(forwarder.planners.as_ref().unwrap().next_timer() > now);
+}
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -543,17 +543,17 @@
             let effects = self.core.drain_effects();
             if effects.is_empty() {
                 let mut events = self.core.drain_events();
-                if events.is_empty() {
-                    return;
-                }
                 for event in &mut events {
                     if let Event::Request(new) = event {
                         new.shard = self.placement.shard(new.key, new.shard);
                     }
                 }
-                // What may be used now comes before what asks for it.
+                // What may be used now comes before what asks for it, and changes also while nobody asks.
                 let shares = self.planners.as_mut().and_then(|planners| planners.before(now, &events));
                 events.splice(0..0, shares);
+                if events.is_empty() {
+                    return;
+                }
                 let actions = self.planner.decide(now, &events);
                 self.core.carry_out(now, actions);
             }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -451,6 +451,8 @@
             if self.nodes.values().any(|node| node.entry.shard == *shard && warm(node)) {
                 power.intervals = (power.intervals + 1.0).min(1.0 / SMOOTHING);
                 power.rate += (rate - power.rate) / power.intervals;
+            } else {
+                power.rate = power.rate.max(rate);
             }
         }
     }
