--- a/lab/src/hollow/tests.rs
+++ b/lab/src/hollow/tests.rs
@@ -1,7 +1,7 @@
 use super::messages::Standing;
 use super::scenes::{worst, ColdLoad};
 use super::*;
-use crate::sync::processor::{alone, steady};
+use crate::sync::processor::alone;
 use std::time::Duration;
 
 fn options() -> Options {
@@ -16,7 +16,7 @@
         rate: 20.0,
         rest_s: Some(3),
         cut_s: Some(4),
-        at_once: false,
+        at_once: true,
         only: Vec::new(),
     }
 }
@@ -82,7 +82,7 @@
 fn a_small_fleet_plays_all_scenes_and_loses_nothing() {
     let _processor = alone();
     let sizes = options().sizes(&common()).unwrap();
-    let report = steady(|| run(&sizes)).unwrap();
+    let report = run(&sizes).unwrap();
     assert_eq!(report.not_played, scenes::LIVE, "not there yet");
     assert_eq!(report.scenes.len() + report.not_played.len(), scenes::ALL.len());
     // The bytes of planners' reports are beyond the operators' budget at any size, as the report of the full size says; here
