Hollow fleet: a keeper ends the processes of a run that was killed

A run ended by a signal left real initiators and planners behind, since nothing was dropped. A keeper process knows their numbers and ends them when its input closes.

--- a/lab/src/hollow/mod.rs
+++ b/lab/src/hollow/mod.rs
@@ -3,11 +3,13 @@
 //! it talks over loopback sockets in real time, and scenes of faults and changes are played on it.
 //!
 //! From below: [`files`] and [`messages`] are what processes are told, [`initiator`] is one hollow initiator, [`worker`] a
-//! process of many, [`switch`], [`relay`] and [`registry`] are the network and discovery, [`processes`] the processes,
+//! process of many, [`switch`], [`relay`] and [`registry`] are the network and discovery, [`processes`] the processes, which [`keeper`] ends with
+//! the run,
 //! [`rig`] all of them together, [`scenes`] what is played.
 
 mod files;
 mod initiator;
+pub mod keeper;
 mod messages;
 mod processes;
 mod registry;
@@ -336,7 +338,8 @@
         println!("  {name:<20} {:>7.1} s  holds {}  {}", scene.seconds, scene.holds, scene.short());
         played.push(scene);
     }
-    let processes = rig.processes() + 1;
+    // This one, and the keeper of the others.
+    let processes = rig.processes() + 2;
     let requests = rig.finish()?;
     Ok(Report {
         initiators: sizes.initiators,
--- a/lab/src/hollow/processes.rs
+++ b/lab/src/hollow/processes.rs
@@ -2,6 +2,7 @@
 //! that none outlives a run that fails.
 
 use super::files;
+use super::keeper::Keeper;
 use super::messages::{Command as Order, Late, Seen, Standing};
 use std::ffi::OsStr;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -9,6 +10,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdin, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use topazpath::resp::{self, Value as Resp};
 
@@ -20,6 +22,7 @@
     /// What it is called where a run tells of it.
     pub name: String,
     child: Child,
+    keeper: Arc<Keeper>,
 }
 
 impl Drop for Process {
@@ -27,13 +30,15 @@
         // It may have ended already.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        self.keeper.forget(self.child.id());
     }
 }
 
 impl Process {
-    fn start(name: String, mut command: Command) -> Result<Process, String> {
+    fn start(name: String, mut command: Command, keeper: &Arc<Keeper>) -> Result<Process, String> {
         let child = command.spawn().map_err(|error| format!("{name}: {error}"))?;
-        Ok(Process { name, child })
+        keeper.keep(child.id());
+        Ok(Process { name, child, keeper: keeper.clone() })
     }
 
     /// Its number in the system.
@@ -65,11 +70,16 @@
 
 impl Worker {
     /// Starts the process; what it sees of lists goes to `lists`.
-    pub fn start(number: usize, hollow: Vec<usize>, lists: Sender<Seen>) -> Result<Worker, String> {
+    pub fn start(
+        number: usize,
+        hollow: Vec<usize>,
+        lists: Sender<Seen>,
+        keeper: &Arc<Keeper>,
+    ) -> Result<Worker, String> {
         let name = format!("hollow worker {number}");
         let mut command = Command::new(lab()?);
         command.arg("hollow-worker").stdin(Stdio::piped()).stdout(Stdio::piped());
-        let mut process = Process::start(name.clone(), command)?;
+        let mut process = Process::start(name.clone(), command, keeper)?;
         let (input, output) = (process.child.stdin.take(), process.child.stdout.take());
         let (Some(input), Some(output)) = (input, output) else { return Err(format!("{name}: no pipes")) };
         let (send, seen) = std::sync::mpsc::channel();
@@ -110,7 +120,7 @@
 }
 
 /// This program, which is the workers' as well. Tests lie one folder further down.
-fn lab() -> Result<PathBuf, String> {
+pub fn lab() -> Result<PathBuf, String> {
     let own = std::env::current_exe().map_err(|error| error.to_string())?;
     let mut folder = own.parent().ok_or("this program lies nowhere")?;
     if !folder.ends_with("deps") {
@@ -143,13 +153,21 @@
     pub listen: SocketAddr,
     program: PathBuf,
     folder: PathBuf,
+    keeper: Arc<Keeper>,
     process: Option<Process>,
 }
 
 impl Real {
     /// One that is off.
-    pub fn new(who: usize, program: &Path, folder: PathBuf, listen: SocketAddr) -> Real {
-        Real { who, listen, program: program.to_path_buf(), folder, process: None }
+    pub fn new(
+        who: usize,
+        program: &Path,
+        folder: PathBuf,
+        listen: SocketAddr,
+        keeper: &Arc<Keeper>,
+    ) -> Real {
+        let (program, keeper) = (program.to_path_buf(), keeper.clone());
+        Real { who, listen, program, folder, keeper, process: None }
     }
 
     /// Starts it.
@@ -160,7 +178,7 @@
         command.env("TOPAZPATH_ISCSI", &files.iscsi).env("TOPAZPATH_PLANNERS", &files.planners);
         command.env("TOPAZPATH_FLEET", &files.fleet).env("TMPDIR", &self.folder);
         command.stdin(Stdio::null()).stdout(Stdio::null());
-        self.process = Some(Process::start(format!("real initiator {}", self.who), command)?);
+        self.process = Some(Process::start(format!("real initiator {}", self.who), command, &self.keeper)?);
         Ok(())
     }
 
@@ -209,6 +227,7 @@
     program: PathBuf,
     folder: PathBuf,
     addresses: Vec<SocketAddr>,
+    keeper: Arc<Keeper>,
     running: Vec<Option<Process>>,
 }
 
@@ -247,6 +266,7 @@
         folder: &Path,
         places: &[Place],
         live: Option<&Live>,
+        keeper: &Arc<Keeper>,
     ) -> Result<Planners, String> {
         let told = |error: std::io::Error| error.to_string();
         std::fs::create_dir_all(folder).map_err(told)?;
@@ -267,7 +287,8 @@
         let program = program.with_file_name("topazpath-planner");
         let running = places.iter().map(|_| None).collect();
         let addresses = places.iter().map(|place| place.listen).collect();
-        let planners = Planners { program, folder: folder.to_path_buf(), addresses, running };
+        let planners =
+            Planners { program, folder: folder.to_path_buf(), addresses, keeper: keeper.clone(), running };
         if live.is_some() {
             for at in 0..places.len() {
                 let file = planners.folder.join(format!("{at}.toml"));
@@ -311,7 +332,7 @@
     pub fn start(&mut self, at: usize) -> Result<(), String> {
         let mut command = Command::new(&self.program);
         command.arg(self.folder.join(format!("{at}.toml"))).stdin(Stdio::null()).stdout(Stdio::null());
-        self.running[at] = Some(Process::start(format!("planner {at}"), command)?);
+        self.running[at] = Some(Process::start(format!("planner {at}"), command, &self.keeper)?);
         Ok(())
     }
 
--- a/lab/src/hollow/rig.rs
+++ b/lab/src/hollow/rig.rs
@@ -2,6 +2,7 @@
 //! initiators, and the clients of the real ones.
 
 use super::files::{self, Setup, REGIONS as NAMES};
+use super::keeper::Keeper;
 use super::messages::{unix_micros, Command, Late, Seen, Standing};
 use super::processes::{until, Live, Place, Planners, Process, Real, Worker};
 use super::registry::{Line, Registry};
@@ -117,6 +118,7 @@
     /// Starts everything; the fleet is not formed yet.
     pub fn start(sizes: &Sizes) -> Result<Rig, String> {
         let program = crate::vrrp::experiments::program()?;
+        let keeper = Arc::new(Keeper::start()?);
         let number = std::process::id();
         let folder = Folder(std::env::temp_dir().join(format!("topazpath-hollow-{number}")));
         let cut = Arc::new(Cut::default());
@@ -147,15 +149,16 @@
             files::write(&own, &setup, sizes.seed ^ ((who as u64 + 1) << 20)).map_err(told)?;
             listens.push(setup.listen);
         }
-        let mut planners = Planners::prepare(&program, &folder.0.join("planners"), &planner_places, section)?;
+        let mut planners =
+            Planners::prepare(&program, &folder.0.join("planners"), &planner_places, section, &keeper)?;
         (0..REGIONS).try_for_each(|at| planners.start(at))?;
         let real = (sizes.hollow()..sizes.initiators)
-            .map(|who| Real::new(who, &program, folder.0.join(who.to_string()), listens[who]))
+            .map(|who| Real::new(who, &program, folder.0.join(who.to_string()), listens[who], &keeper))
             .collect();
         let (send, lists) = channel();
         let mut workers = Vec::new();
         for (number, hollow) in shares(sizes).into_iter().enumerate() {
-            workers.push(Worker::start(number, hollow, send.clone())?);
+            workers.push(Worker::start(number, hollow, send.clone(), &keeper)?);
         }
         Ok(Rig {
             sizes: sizes.clone(),
--- a/lab/src/hollow/tests.rs
+++ b/lab/src/hollow/tests.rs
@@ -96,3 +96,19 @@
     }
     assert!(report.requests.served > 0 && report.requests.lost == 0, "{:?}", report.requests);
 }
+
+#[test]
+fn a_process_that_is_kept_ends_with_its_run_and_one_that_was_forgotten_does_not() {
+    let sleeper = || std::process::Command::new("sleep").arg("60").spawn().unwrap();
+    let (mut kept, mut forgotten) = (sleeper(), sleeper());
+    let keeper = keeper::Keeper::start().unwrap();
+    keeper.keep(kept.id());
+    keeper.keep(forgotten.id());
+    keeper.forget(forgotten.id());
+    // As the end of the run's own process closes it.
+    drop(keeper);
+    assert!(!kept.wait().unwrap().success());
+    assert!(forgotten.try_wait().unwrap().is_none());
+    forgotten.kill().unwrap();
+    forgotten.wait().unwrap();
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -53,6 +53,9 @@
     /// A process with many hollow initiators, started by `hollow`.
     #[command(hide = true)]
     HollowWorker,
+    /// Ends the processes of a run that is gone, started by `hollow`.
+    #[command(hide = true)]
+    HollowKeeper,
 }
 
 fn main() -> ExitCode {
@@ -68,6 +71,7 @@
         Command::PlannersSim(arguments) => planners::simulation::run(&arguments),
         Command::Hollow { options, common } => hollow::command(&options, &common),
         Command::HollowWorker => hollow::worker::run(),
+        Command::HollowKeeper => hollow::keeper::run(),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
