--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -62,6 +62,9 @@
     /// What `capacity` measures in a process of its own.
     #[command(hide = true)]
     CapacityChild(capacity::child::Options),
+    /// Ends the processes of a run that is gone, started by `hollow`.
+    #[command(hide = true)]
+    HollowKeeper,
 }
 
 fn main() -> ExitCode {
@@ -80,6 +83,7 @@
         Command::HollowWorker => hollow::worker::run(),
         Command::Capacity(options) => capacity::run(&options),
         Command::CapacityChild(options) => capacity::child::run(&options),
+        Command::HollowKeeper => hollow::keeper::run(),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
