--- a/lab/src/capacity/target.rs
+++ b/lab/src/capacity/target.rs
@@ -108,8 +108,8 @@
     Line { asked: "3 regions that can lose each other", mechanism: None, part: "regions" },
     Line {
         asked: "550 changes of configuration a day, in force everywhere within 9 s",
-        mechanism: None,
-        part: "configuration",
+        mechanism: Some("live configuration: agreed by the planners, handed on, taken over while running"),
+        part: "configuration, hollow",
     },
     Line {
         asked: "3 machines set aside for control",
--- a/lab/src/hollow/tests.rs
+++ b/lab/src/hollow/tests.rs
@@ -83,7 +83,7 @@
     let _processor = alone();
     let sizes = options().sizes(&common()).unwrap();
     let report = run(&sizes).unwrap();
-    assert_eq!(report.not_played, scenes::LIVE, "not there yet");
+    assert_eq!(report.not_played, [] as [&str; 0]);
     assert_eq!(report.scenes.len() + report.not_played.len(), scenes::ALL.len());
     // The bytes of planners' reports are beyond the operators' budget at any size, as the report of the full size says; here
     // it is judged that hollow initiators send and receive what real ones do.
