--- a/lab/src/hollow/initiator.rs
+++ b/lab/src/hollow/initiator.rs
@@ -209,7 +209,7 @@
                     volume: VolumeId(1 + (first + at) % of),
                     key: 0,
                     deadline,
-                    units: 4.5,
+                    units: files::MEAN_UNITS,
                     shard: Some(0),
                     volume_hosts: (each as f64).max(1.0),
                 })
--- a/lab/src/hollow/scenes/mod.rs
+++ b/lab/src/hollow/scenes/mod.rs
@@ -8,7 +8,7 @@
 mod rest;
 mod wave;
 
-use super::files::{cold_units, COLD, COLD_SHARE, FALL};
+use super::files::{cold_units, COLD, COLD_SHARE, FALL, MEAN_UNITS};
 use super::rig::Rig;
 use crate::sync::lock;
 use serde::Serialize;
@@ -95,6 +95,15 @@
     /// The most that units within such a time were of what the node bears from those who sent them, by its age at the
     /// beginning of that time.
     pub part_of_budget: f64,
+    /// The same against the rule's own bound, which adds to a budget of N mean requests what chance may: 2 x root of N + 2.
+    pub part_of_bound: f64,
+}
+
+impl ColdLoad {
+    /// Whether the rule on cold nodes is kept.
+    pub fn is_borne(&self) -> bool {
+        self.part_of_bound <= 1.0
+    }
 }
 
 /// What came to a node that started at a moment, until it was warm, against the part that the initiators that serve have
@@ -117,7 +126,11 @@
         let units: f64 = within.map(|(_, units)| units).sum();
         let warmth = COLD_SHARE + (1.0 - COLD_SHARE) * begin.div_duration_f64(COLD);
         worst.units = worst.units.max(units);
-        worst.part_of_budget = worst.part_of_budget.max(units / (coldest * warmth / COLD_SHARE));
+        let budget = coldest * warmth / COLD_SHARE;
+        let requests = budget / MEAN_UNITS;
+        let bound = (requests + 2.0 * requests.sqrt() + 2.0) * MEAN_UNITS;
+        worst.part_of_budget = worst.part_of_budget.max(units / budget);
+        worst.part_of_bound = worst.part_of_bound.max(units / bound);
     }
     worst
 }
--- a/lab/src/hollow/tests.rs
+++ b/lab/src/hollow/tests.rs
@@ -65,6 +65,9 @@
     let from_2_s = 6.0 / (10.0 * (0.16 + 0.84 * 2.0 / 18.0) / 0.16);
     assert!((load.part_of_budget - f64::max(12.0 / (10.0 * warmth / 0.16), from_2_s).max(0.3)).abs() < 1e-9);
     assert!(worst(&[(ms(0), 11.0)], 10.0).part_of_budget > 1.0);
+    // A budget of 10 units is one of 2.2 mean requests; 32.4 units are the rule's bound.
+    assert!(worst(&[(ms(0), 32.0)], 10.0).is_borne());
+    assert!(!worst(&[(ms(0), 33.0)], 10.0).is_borne());
     assert_eq!(worst(&[(ms(18_000), 1000.0)], 10.0), ColdLoad::default(), "warm");
 }
 
