--- a/lab/src/hollow/files.rs
+++ b/lab/src/hollow/files.rs
@@ -21,9 +21,6 @@
 /// Names of the regions, which are the zones of the settings.
 pub const REGIONS: [&str; 3] = ["r-0", "r-1", "r-2"];
 
-/// Units of a mean request.
-pub const MEAN_UNITS: f64 = 4.5;
-
 /// What a cold node bears within [`FALL`] in any case, over a whole fleet.
 pub fn cold_units(initiators: usize) -> f64 {
     COLD_UNITS * initiators as f64
