Hollow fleet: a cold node is judged by its part of the whole fleet's bound

Cause: the judge that replaced N alone gave those that serve the rule's allowance for chance as if they were a fleet of their own, 1.6 N for three initiators, where the rule gives a fleet of 36 1.15 N and one of 460 1.04 N. That was a weaker check than the one it replaced.

Change: the bound N + 2 x root of N + 2 is the whole fleet's, and the part that serves has its share of it. The test has both sides of it for a hundredth of a fleet; it was not run in this commit (the lab was built in release alone).

--- a/lab/src/hollow/scenes/mod.rs
+++ b/lab/src/hollow/scenes/mod.rs
@@ -95,7 +95,8 @@
     /// The most that units within such a time were of what the node bears from those who sent them, by its age at the
     /// beginning of that time.
     pub part_of_budget: f64,
-    /// The same against the rule's own bound, which adds to a budget of N mean requests what chance may: 2 x root of N + 2.
+    /// The same against these initiators' part of the rule's own bound, which adds to the whole fleet's budget of N mean requests
+    /// what chance may: 2 x root of N + 2.
     pub part_of_bound: f64,
 }
 
@@ -115,11 +116,13 @@
         .filter(|attempt| attempt.node == node && attempt.at >= started)
         .map(|attempt| (attempt.at - started, attempt.units))
         .collect();
-    worst(&came, cold_units(rig.sizes.serving().len()))
+    let (serving, all) = (rig.sizes.serving().len(), rig.sizes.initiators);
+    worst(&came, cold_units(serving), serving as f64 / all as f64)
 }
 
-/// The worst of what came, each with the node's age, to a node that bears so many units when it is coldest.
-pub fn worst(came: &[(Duration, f64)], coldest: f64) -> ColdLoad {
+/// The worst of what came, each with the node's age, to a node that bears so many units, when it is coldest, from a part of
+/// the fleet.
+pub fn worst(came: &[(Duration, f64)], coldest: f64, part: f64) -> ColdLoad {
     let mut worst = ColdLoad::default();
     for (first, (begin, _)) in came.iter().enumerate().filter(|(_, (begin, _))| *begin < COLD) {
         let within = came[first..].iter().take_while(|(at, _)| *at <= *begin + FALL);
@@ -127,8 +130,8 @@
         let warmth = COLD_SHARE + (1.0 - COLD_SHARE) * begin.div_duration_f64(COLD);
         worst.units = worst.units.max(units);
         let budget = coldest * warmth / COLD_SHARE;
-        let requests = budget / MEAN_UNITS;
-        let bound = (requests + 2.0 * requests.sqrt() + 2.0) * MEAN_UNITS;
+        let requests = budget / part / MEAN_UNITS;
+        let bound = (requests + 2.0 * requests.sqrt() + 2.0) * MEAN_UNITS * part;
         worst.part_of_budget = worst.part_of_budget.max(units / budget);
         worst.part_of_bound = worst.part_of_bound.max(units / bound);
     }
--- a/lab/src/hollow/tests.rs
+++ b/lab/src/hollow/tests.rs
@@ -57,18 +57,21 @@
 #[test]
 fn the_worst_time_at_a_cold_node_is_found_wherever_it_lies_and_by_the_nodes_age() {
     let ms = Duration::from_millis;
-    assert_eq!(worst(&[], 10.0), ColdLoad::default());
-    let load = worst(&[(ms(0), 1.0), (ms(2000), 2.0), (ms(4900), 4.0), (ms(5500), 8.0)], 10.0);
+    assert_eq!(worst(&[], 10.0, 1.0), ColdLoad::default());
+    let load = worst(&[(ms(0), 1.0), (ms(2000), 2.0), (ms(4900), 4.0), (ms(5500), 8.0)], 10.0, 1.0);
     assert_eq!(load.units, 12.0);
     // From its start to 3 s 3 units of 10; from 4.9 s on 12 of what it bears then.
     let warmth: f64 = 0.16 + 0.84 * 4.9 / 18.0;
     let from_2_s = 6.0 / (10.0 * (0.16 + 0.84 * 2.0 / 18.0) / 0.16);
     assert!((load.part_of_budget - f64::max(12.0 / (10.0 * warmth / 0.16), from_2_s).max(0.3)).abs() < 1e-9);
-    assert!(worst(&[(ms(0), 11.0)], 10.0).part_of_budget > 1.0);
+    assert!(worst(&[(ms(0), 11.0)], 10.0, 1.0).part_of_budget > 1.0);
     // A budget of 10 units is one of 2.2 mean requests; 32.4 units are the rule's bound.
-    assert!(worst(&[(ms(0), 32.0)], 10.0).is_borne());
-    assert!(!worst(&[(ms(0), 33.0)], 10.0).is_borne());
-    assert_eq!(worst(&[(ms(18_000), 1000.0)], 10.0), ColdLoad::default(), "warm");
+    assert!(worst(&[(ms(0), 32.0)], 10.0, 1.0).is_borne());
+    assert!(!worst(&[(ms(0), 33.0)], 10.0, 1.0).is_borne());
+    // A hundredth of a fleet has a hundredth of its bound: 1000 units are 222 requests, and 1.143 times as many may come.
+    assert!(worst(&[(ms(0), 11.4)], 10.0, 0.01).is_borne());
+    assert!(!worst(&[(ms(0), 11.5)], 10.0, 0.01).is_borne());
+    assert_eq!(worst(&[(ms(18_000), 1000.0)], 10.0, 1.0), ColdLoad::default(), "warm");
 }
 
 #[test]
