Front in modules of one job each; endpoints, admin endpoint and connection budget by their names

The frame of the hot restart keeps its name on the wire. Checked: unit tests of the library, clippy.

--- a/src/control/door.rs
+++ b/src/control/endpoint.rs
@@ -16,7 +16,7 @@
 const PATIENCE: Duration = Duration::from_secs(5);
 /// A caller that does not read its answer, or does not close, is closed after this.
 const LAST_WORDS: Duration = Duration::from_secs(1);
-/// Descriptors that the door may take up.
+/// Descriptors that the endpoint may take up.
 pub const DESCRIPTORS: usize = MOST_CALLERS + 1;
 
 struct Caller {
@@ -27,19 +27,19 @@
 }
 
 /// Where operators call.
-pub struct Door {
+pub struct AdminEndpoint {
     listener: TcpListener,
     /// In the order they came: tokens only grow.
     callers: BTreeMap<usize, Caller>,
     knocked: bool,
 }
 
-impl Door {
+impl AdminEndpoint {
     /// Callers come in by this listener.
     pub fn open(listener: TcpListener, token: Token, registry: &Registry) -> std::io::Result<Self> {
-        let mut door = Door { listener, callers: BTreeMap::new(), knocked: true };
-        registry.register(&mut door.listener, token, Interest::READABLE)?;
-        Ok(door)
+        let mut endpoint = AdminEndpoint { listener, callers: BTreeMap::new(), knocked: true };
+        registry.register(&mut endpoint.listener, token, Interest::READABLE)?;
+        Ok(endpoint)
     }
 
     /// Where it listens: the port may have been left to the system.
@@ -59,7 +59,7 @@
             false => registry.deregister(&mut self.listener),
         };
         if let Err(error) = changed {
-            tracing::warn!("the door's listener: {error}");
+            tracing::warn!("the admin endpoint's listener: {error}");
         }
         self.knocked = yes;
     }
@@ -69,7 +69,7 @@
         self.knocked = true;
     }
 
-    /// When [`Door::turn`] has something to do.
+    /// When [`AdminEndpoint::turn`] has something to do.
     pub fn next_timer(&self) -> Option<Instant> {
         let end = |caller: &Caller| {
             caller.answered.map_or(caller.since + PATIENCE, |answered| answered + LAST_WORDS)
@@ -78,7 +78,7 @@
     }
 
     /// Its part of a turn of the loop: lets callers in and closes who is slow. What was called is returned; each is
-    /// owed one [`Door::reply`].
+    /// owed one [`AdminEndpoint::reply`].
     pub fn turn(
         &mut self,
         now: Instant,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,7 +1,7 @@
 //! What operators say to a running initiator, one line a call, and what they are told: parser and replies. The sockets
-//! are in `door`, and what a call does is the loop's.
+//! are in `endpoint`, and what a call does is the loop's.
 
-pub mod door;
+pub mod endpoint;
 
 /// A line is not longer, its end included.
 pub const LONGEST_LINE: usize = 256;
--- a/src/forwarder/rooms.rs
+++ b/src/forwarder/budget.rs
@@ -1,7 +1,7 @@
-//! What the descriptors and the memory are divided into.
+//! The connection budget: what the descriptors and the memory are divided into.
 
 use crate::config::Config;
-use crate::control::door;
+use crate::control::endpoint;
 use crate::front::Room;
 use crate::process;
 
@@ -29,13 +29,13 @@
 
 /// How many connections to targets there may be, and what clients may take up, where another process holds so many
 /// descriptors and bytes of what this initiator may use.
-pub(super) fn rooms(config: &Config, (descriptors, bytes): (usize, usize)) -> (usize, Room) {
+pub(super) fn connection_budget(config: &Config, (descriptors, bytes): (usize, usize)) -> (usize, Room) {
     let sockets = config.sockets.saturating_sub(descriptors);
     let for_targets = (sockets as f64 * TARGETS_PART) as usize;
     let crowd = (sockets as f64 * CROWD_PART) as usize;
     let more = OTHER_DESCRIPTORS
         + if config.iscsi.is_some() { MOST_ISCSI } else { 0 }
-        + if config.control.is_some() { door::DESCRIPTORS } else { 0 };
+        + if config.control.is_some() { endpoint::DESCRIPTORS } else { 0 };
     // What is left for clients is little where the limit is low, but never nothing.
     let clients = sockets.saturating_sub(for_targets + 2 * crowd + more).max(MOST_ISCSI / 4);
     let easy = (sockets as f64 * EASY_PART) as usize;
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -1,13 +1,13 @@
 //! The loop: gathers what is ready, hands it to the planner in one call, carries out what came back.
 
+mod budget;
 mod configuration;
 mod operators;
-mod rooms;
 mod succession;
 
 use crate::clock::Clock;
 use crate::config::{Config, Files};
-use crate::control::door::Door;
+use crate::control::endpoint::AdminEndpoint;
 use crate::core::{AttemptId, Core, Effect, Ended};
 use crate::discovery::{self, Discovery, News};
 use crate::fleet;
@@ -26,9 +26,9 @@
 use crate::tokens::{Kind, Tokens};
 use crate::upgrade::frame::{Carried, Place};
 use crate::upgrade::{self, Before, Upgrade};
+use budget::{connection_budget, LONG_PART, MOST_ISCSI};
 use mio::net::UnixStream;
 use mio::{Events, Interest, Poll, Token};
-use rooms::{rooms, LONG_PART, MOST_ISCSI};
 use std::io::Read;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -37,7 +37,7 @@
 const SIGNAL: Token = Token(1);
 const RELOAD: Token = Token(2);
 const ISCSI_LISTENER: Token = Token(3);
-const DOOR: Token = Token(4);
+const ADMIN_LISTENER: Token = Token(4);
 const UPGRADE: Token = Token(7);
 const FLEET: Token = Token(8);
 /// Where advertisements come in, at most one interface for each family.
@@ -78,9 +78,9 @@
     /// When it is to be joined again: the address may still be that of a process that has just died.
     fleet_again: Option<Instant>,
     /// Where operators call.
-    door: Option<Door>,
+    admin: Option<AdminEndpoint>,
     /// The process that took over has the operators' listener.
-    door_given: bool,
+    admin_given: bool,
     /// Whether it takes clients.
     state: State,
     /// Other processes of this initiator, while one takes the place of another.
@@ -129,7 +129,7 @@
             registered.map(|()| stream).map_err(|error| format!("signal pipe: {error}"))
         };
         let (signal, reload) = (register(signals.end, SIGNAL)?, register(signals.reload, RELOAD)?);
-        let (for_targets, room) = rooms(&config, (0, 0));
+        let (for_targets, room) = connection_budget(&config, (0, 0));
         // Clients hold a third of the descriptors at most, one for each request: what waits here takes so many from
         // those that come next.
         let most_held = config.sockets / HELD_SOCKETS;
@@ -164,12 +164,12 @@
         let resp = listen(Place::Resp(config.listen), config.listen)
             .and_then(|listener| Front::new(resp, listener, LISTENER, poll.registry(), clock, room))
             .map_err(|error| format!("{}: {error}", config.listen))?;
-        let door = config.control.map(|address| {
-            let door = listen(Place::Control(address), address)
-                .and_then(|listener| Door::open(listener, DOOR, poll.registry()));
-            door.map_err(|error| format!("control {address}: {error}"))
+        let admin = config.control.map(|address| {
+            let admin = listen(Place::Control(address), address)
+                .and_then(|listener| AdminEndpoint::open(listener, ADMIN_LISTENER, poll.registry()));
+            admin.map_err(|error| format!("control {address}: {error}"))
         });
-        let door = door.transpose()?;
+        let admin = admin.transpose()?;
         let mut tokens = Tokens::new();
         let planners = (!config.planners.is_empty()).then(|| {
             let names = config.live_configuration.then(|| config.names());
@@ -222,8 +222,8 @@
             addresses: None,
             fleet: None,
             fleet_again: None,
-            door,
-            door_given: false,
+            admin,
+            admin_given: false,
             state,
             upgrade,
             held,
@@ -249,7 +249,7 @@
         forwarder.join_fleet(now, identity)?;
         let iscsi = forwarder.iscsi.as_ref().and_then(Front::address);
         tracing::trace!(settings = ?forwarder.config.settings, "settings");
-        let control = forwarder.door.as_ref().and_then(Door::address);
+        let control = forwarder.admin.as_ref().and_then(AdminEndpoint::address);
         forwarder.state.start();
         forwarder.divide();
         forwarder.stand();
@@ -383,7 +383,7 @@
         next = self.core.next_timer().map_or(next, |at| next.min(at));
         next = self.addresses.as_ref().map_or(next, |addresses| next.min(addresses.next_timer(now)));
         next = self.upgrade.next_timer().map_or(next, |at| next.min(at));
-        next = self.door.as_ref().and_then(Door::next_timer).map_or(next, |at| next.min(at));
+        next = self.admin.as_ref().and_then(AdminEndpoint::next_timer).map_or(next, |at| next.min(at));
         next = self.fleet.as_ref().and_then(|it| it.next_timer(now)).map_or(next, |at| next.min(at));
         next = self.fleet_again.map_or(next, |at| next.min(at));
         next = self.planners.as_ref().map_or(next, |planners| next.min(planners.next_timer()));
@@ -429,7 +429,7 @@
                 }
             }
             // Read before all else in a turn.
-            DOOR => {}
+            ADMIN_LISTENER => {}
             UPGRADE => self.upgrade.knock(),
             FLEET => self.fleet.iter_mut().for_each(fleet::speaker::Speaker::ready),
             token if ADVERTISEMENTS.contains(&token) => {}
@@ -451,13 +451,13 @@
             Token(id) => match (Kind::of(id), &mut self.iscsi) {
                 (Some(Kind::RespClient), _) => self.resp.told(now, id, ends, &mut self.core),
                 (Some(Kind::IscsiClient), Some(front)) => front.told(now, id, ends, &mut self.core),
-                (Some(Kind::RespDoor), _) => self.resp.knock(now),
+                (Some(Kind::RespListener), _) => self.resp.knock(now),
                 (Some(Kind::Planner), _) => {
                     if let Some(planners) = &mut self.planners {
                         planners.ready(now, token);
                     }
                 }
-                (Some(Kind::IscsiDoor), Some(front)) => front.knock(now),
+                (Some(Kind::IscsiListener), Some(front)) => front.knock(now),
                 (Some(Kind::Operator), _) => {}
                 (Some(Kind::Upgrade), _) => {
                     let heard = self.upgrade.ready(id);
--- a/src/forwarder/operators.rs
+++ b/src/forwarder/operators.rs
@@ -1,6 +1,6 @@
-//! What operators ask for at the door, and what comes of it.
+//! What operators ask for at the admin endpoint, and what comes of it.
 
-use super::{Forwarder, DOOR};
+use super::{Forwarder, ADMIN_LISTENER};
 use crate::control::Call;
 use crate::service::Phase;
 use crate::tokens::Kind;
@@ -10,16 +10,16 @@
 impl Forwarder {
     /// What operators ask for, before all other work of a turn: guards their answers against any load.
     pub(super) fn answer_operators(&mut self, now: Instant, events: &Events) {
-        let (Some(door), tokens) = (&mut self.door, &mut self.tokens) else { return };
+        let (Some(admin), tokens) = (&mut self.admin, &mut self.tokens) else { return };
         let mut calls = Vec::new();
         for Token(id) in events.iter().map(|event| event.token()) {
-            if Token(id) == DOOR {
-                door.knock();
+            if Token(id) == ADMIN_LISTENER {
+                admin.knock();
             } else if Kind::of(id) == Some(Kind::Operator) {
-                calls.extend(door.ready(now, id).map(|call| (id, call)));
+                calls.extend(admin.ready(now, id).map(|call| (id, call)));
             }
         }
-        calls.extend(door.turn(now, self.poll.registry(), || tokens.next(Kind::Operator)));
+        calls.extend(admin.turn(now, self.poll.registry(), || tokens.next(Kind::Operator)));
         for (caller, call) in calls {
             let outcome = self.obey(now, &call);
             match &outcome {
@@ -27,7 +27,7 @@
                 Err(why) => tracing::warn!(?call, "not done: {why}"),
             }
             self.core.counters.operator_calls += 1;
-            self.door.iter_mut().for_each(|door| door.reply(now, caller, &outcome));
+            self.admin.iter_mut().for_each(|admin| admin.reply(now, caller, &outcome));
         }
     }
 
--- a/src/forwarder/succession.rs
+++ b/src/forwarder/succession.rs
@@ -1,7 +1,7 @@
 //! One process of this initiator takes the place of another: what it gives, what it hears, and how it ends.
 
-use super::rooms::{holds, rooms, LONG_PART};
-use super::{Forwarder, DOOR, ISCSI_LISTENER, LISTENER};
+use super::budget::{connection_budget, holds, LONG_PART};
+use super::{Forwarder, ADMIN_LISTENER, ISCSI_LISTENER, LISTENER};
 use crate::fleet::speaker::{Speaker, REPORT};
 use crate::front::Front;
 use crate::service::addresses::Addresses;
@@ -45,7 +45,7 @@
         for heard in heard {
             match heard {
                 Heard::Asked(peer) => self.give_listeners(peer),
-                Heard::Take { peer, door } => self.give_way(now, peer, door),
+                Heard::Take { peer, admin } => self.give_way(now, peer, admin),
                 Heard::Client(stream, input) => {
                     let token = self.tokens.next(Kind::RespClient);
                     let (registry, core) = (self.poll.registry(), &mut self.core);
@@ -71,8 +71,8 @@
                     tracing::error!("the process that took over died: this one takes clients again");
                     self.state.take_back();
                     self.accept_newcomers(now, true);
-                    if let Some(own) = self.door.as_mut().filter(|_| std::mem::take(&mut self.door_given)) {
-                        own.accept_callers(true, DOOR, self.poll.registry());
+                    if let Some(own) = self.admin.as_mut().filter(|_| std::mem::take(&mut self.admin_given)) {
+                        own.accept_callers(true, ADMIN_LISTENER, self.poll.registry());
                     }
                     self.planner.take_all(now);
                     // What it promised may be out of date: it comes again as another life.
@@ -89,13 +89,13 @@
         let resp = self.resp.listener().map(|listener| (Place::Resp(self.config.listen), listener));
         let iscsi = self.config.iscsi.as_ref().zip(self.iscsi.as_ref().and_then(Front::listener));
         let iscsi = iscsi.map(|(offered, listener)| (Place::Iscsi(offered.listen), listener));
-        let door = self.config.control.zip(self.door.as_ref());
-        let door = door.map(|(address, door)| (Place::Control(address), door.listener()));
-        self.upgrade.give_listeners(peer, [resp, iscsi, door].into_iter().flatten().collect());
+        let admin = self.config.control.zip(self.admin.as_ref());
+        let admin = admin.map(|(address, admin)| (Place::Control(address), admin.listener()));
+        self.upgrade.give_listeners(peer, [resp, iscsi, admin].into_iter().flatten().collect());
     }
 
     /// Another process takes the place of this one.
-    fn give_way(&mut self, now: Instant, peer: usize, door: bool) {
+    fn give_way(&mut self, now: Instant, peer: usize, admin: bool) {
         let (planner, nodes, targets) = (&mut self.planner, &self.nodes, &mut self.targets);
         let (fleet, again) = (&mut self.fleet, &mut self.fleet_again);
         let (drained, list, clients) = (self.state.is_drained(), self.discovery.version(), self.resp.len());
@@ -114,9 +114,9 @@
                 self.core.set_report(REPORT, String::new(), r#"{"phase":"handed over"}"#.into());
             }
             self.accept_newcomers(now, false);
-            if let Some(own) = self.door.as_mut().filter(|_| door) {
-                own.accept_callers(false, DOOR, self.poll.registry());
-                self.door_given = true;
+            if let Some(own) = self.admin.as_mut().filter(|_| admin) {
+                own.accept_callers(false, ADMIN_LISTENER, self.poll.registry());
+                self.admin_given = true;
             }
             self.state.replace(now);
             self.stand();
@@ -133,7 +133,7 @@
 
     /// Goes by what the process before leaves of the limits.
     pub(super) fn divide(&mut self) {
-        let (for_targets, room) = rooms(&self.config, self.held);
+        let (for_targets, room) = connection_budget(&self.config, self.held);
         self.targets.set_most(for_targets);
         self.budget.resize(self.config.memory.saturating_sub(self.held.1) / LONG_PART);
         self.resp.set_room(room);
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -1,7 +1,9 @@
 use super::*;
 use crate::config::Wire;
 use mio::Poll;
+use room::SILENT_BEFORE_ROOM;
 use std::io::{Read, Write};
+use std::net::SocketAddr;
 
 /// A front on a port of the system's choice.
 fn front(poll: &Poll, clock: Clock, room: Room) -> Front<resp::Resp> {
--- a/src/nodes/tests.rs
+++ b/src/nodes/tests.rs
@@ -160,7 +160,7 @@
 }
 
 #[test]
-fn a_node_is_out_while_the_door_or_the_configuration_says_so() {
+fn a_node_is_out_while_the_admin_endpoint_or_the_configuration_says_so() {
     let now = Instant::now();
     let mut nodes = listed(now, &["s-1"]);
     nodes.ban(now, seconds(100), "s-1").unwrap();
@@ -173,7 +173,7 @@
     // The other way round.
     nodes.configure_out(now, seconds(130), &names(&["s-1"]));
     nodes.ban(now, seconds(131), "s-1").unwrap();
-    assert_eq!(nodes.configure_out(now, seconds(140), &names(&[])), None, "the door still says so");
+    assert_eq!(nodes.configure_out(now, seconds(140), &names(&[])), None, "the admin endpoint still says so");
     assert_eq!(nodes.ready(), 0);
     let event = nodes.call_back(seconds(150), "s-1").unwrap().unwrap();
     assert_eq!(states(&event), [(NodeState::Ready, Some(seconds(150)))]);
--- a/src/service/addresses.rs
+++ b/src/service/addresses.rs
@@ -1,5 +1,5 @@
 //! The addresses that move between machines, as one initiator serves them: follows its virtual routers, opens and
-//! retires the doors of its fronts, and looks at what lowers its priorities.
+//! retires its fronts' endpoints, and looks at what lowers its priorities.
 //!
 //! The decisions are elsewhere: `vrrp` says whose an address is, `handover` what becomes of items.
 
@@ -50,8 +50,8 @@
 /// One address on this machine.
 struct Place {
     address: Box<dyn Address>,
-    /// Doors of the fronts, in the order of the address's listeners.
-    doors: Vec<(Wire, usize)>,
+    /// Endpoints of the fronts, in the order of the address's listeners.
+    endpoints: Vec<(Wire, usize)>,
     /// Something was asked of the address that has not come about.
     pending: bool,
     failing: bool,
@@ -84,20 +84,20 @@
         for service in &settings.services {
             let owner = service.router.priority == crate::vrrp::packet::PRIORITY_OWNER;
             let taken = service.accept || owner;
-            let (mut listen, mut doors) = (Vec::new(), Vec::new());
+            let (mut listen, mut endpoints) = (Vec::new(), Vec::new());
             if let Some(at) = service.listen.filter(|_| taken) {
                 listen.push(at);
-                doors.push((Wire::Resp, lent.resp.add_door()));
+                endpoints.push((Wire::Resp, lent.resp.add_endpoint()));
             }
             if let Some(at) = service.listen_iscsi.filter(|_| taken) {
                 let front = lent.iscsi.as_mut().ok_or_else(|| {
                     format!("router {:?}: listen_iscsi: the second front is off", service.router.name)
                 })?;
                 listen.push(at);
-                doors.push((Wire::Iscsi, front.add_door()));
+                endpoints.push((Wire::Iscsi, front.add_endpoint()));
             }
             let address = address(&settings.means, &service.router, listen);
-            places.push(Place { address, doors, pending: false, failing: false });
+            places.push(Place { address, endpoints, pending: false, failing: false });
         }
         let (routers, rules) = (settings.routers(), &settings.tracking.rules);
         let speaker = Speaker::start(&settings.interfaces, routers, rules, interfaces, lent.registry, now)?;
@@ -220,15 +220,15 @@
                 place.pending = true;
             }
             Some(Order::Release) => {
-                for (wire, door) in &place.doors {
+                for (wire, endpoint) in &place.endpoints {
                     match (wire, &mut lent.iscsi) {
                         (Wire::Iscsi, Some(front)) => {
                             let next = || lent.tokens.next(Kind::IscsiClient);
-                            front.retire_door(*door, lent.registry, next, now);
+                            front.retire_endpoint(*endpoint, lent.registry, next, now);
                         }
                         _ => {
                             let next = || lent.tokens.next(Kind::RespClient);
-                            lent.resp.retire_door(*door, lent.registry, next, now);
+                            lent.resp.retire_endpoint(*endpoint, lent.registry, next, now);
                         }
                     }
                 }
@@ -236,7 +236,7 @@
                 (place.pending, place.failing) = (true, false);
             }
             Some(Order::End) => {
-                for request in open_behind(&place.doors, lent) {
+                for request in open_at(&place.endpoints, lent) {
                     lent.core.end(request);
                 }
             }
@@ -259,15 +259,16 @@
                     }
                     Progress::Here(listeners) => {
                         (place.pending, place.failing) = (false, false);
-                        let doors = place.doors.clone();
-                        for ((wire, door), listener) in doors.into_iter().zip(listeners) {
-                            let kind = if wire == Wire::Resp { Kind::RespDoor } else { Kind::IscsiDoor };
+                        let endpoints = place.endpoints.clone();
+                        for ((wire, endpoint), listener) in endpoints.into_iter().zip(listeners) {
+                            let kind =
+                                if wire == Wire::Resp { Kind::RespListener } else { Kind::IscsiListener };
                             let token = lent.tokens.next(kind);
                             let opened = match (wire, &mut lent.iscsi) {
                                 (Wire::Iscsi, Some(front)) => {
-                                    front.open_door(door, listener, token, lent.registry, now)
+                                    front.open_endpoint(endpoint, listener, token, lent.registry, now)
                                 }
-                                _ => lent.resp.open_door(door, listener, token, lent.registry, now),
+                                _ => lent.resp.open_endpoint(endpoint, listener, token, lent.registry, now),
                             };
                             if let Err(error) = opened {
                                 tracing::error!("a listener cannot be watched: {error}");
@@ -278,7 +279,7 @@
                 }
             }
             if matches!(self.handover.duty(router), Duty::Retired { .. }) {
-                let open = open_behind(&self.places[router].doors, lent).len();
+                let open = open_at(&self.places[router].endpoints, lent).len();
                 self.step(now, router, Event::Looked { open }, lent);
             }
         }
@@ -290,20 +291,20 @@
     fn report(&mut self, now: Instant, lent: &mut Lent) {
         let served = |router: usize| Served {
             duty: self.handover.duty(router).name(),
-            open_requests: open_behind(&self.places[router].doors, lent).len(),
+            open_requests: open_at(&self.places[router].endpoints, lent).len(),
         };
         let snapshot = Snapshot::take(&self.speaker, now, self.settings.share, served);
         lent.core.set_report(REPORT, snapshot.lines(), snapshot.json());
     }
 }
 
-/// Requests open that came in by these doors.
-fn open_behind(doors: &[(Wire, usize)], lent: &Lent) -> Vec<crate::interface::RequestId> {
+/// Requests open that came in by these endpoints.
+fn open_at(endpoints: &[(Wire, usize)], lent: &Lent) -> Vec<crate::interface::RequestId> {
     let mut open = Vec::new();
-    for (wire, door) in doors {
+    for (wire, endpoint) in endpoints {
         match (wire, &lent.iscsi) {
-            (Wire::Iscsi, Some(front)) => open.extend(front.open_behind(*door)),
-            _ => open.extend(lent.resp.open_behind(*door)),
+            (Wire::Iscsi, Some(front)) => open.extend(front.open_at(*endpoint)),
+            _ => open.extend(lent.resp.open_at(*endpoint)),
         }
     }
     open
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -1,5 +1,5 @@
 //! The state of service of this process: whether it takes clients, and what becomes of those it has. PING, the fronts,
-//! signals and the operators' door all go by it. It does no I/O and reads no clock.
+//! signals and the admin endpoint all go by it. It does no I/O and reads no clock.
 
 pub mod addresses;
 
--- a/src/tokens.rs
+++ b/src/tokens.rs
@@ -19,12 +19,12 @@
     /// A conversation with discovery.
     Discovery,
     /// A listener of RESP2 at an address that moves between machines.
-    RespDoor,
+    RespListener,
     /// Likewise of the second front.
-    IscsiDoor,
+    IscsiListener,
     /// A connection to a planner.
     Planner,
-    /// A caller at the operators' door.
+    /// A caller at the admin endpoint.
     Operator,
     /// Another process of this initiator.
     Upgrade,
@@ -35,8 +35,8 @@
     Kind::IscsiClient,
     Kind::Target,
     Kind::Discovery,
-    Kind::RespDoor,
-    Kind::IscsiDoor,
+    Kind::RespListener,
+    Kind::IscsiListener,
     Kind::Planner,
     Kind::Operator,
     Kind::Upgrade,
--- a/src/upgrade/mod.rs
+++ b/src/upgrade/mod.rs
@@ -41,7 +41,7 @@
     stream: std::os::unix::net::UnixStream,
     listeners: Vec<(Place, OwnedFd)>,
     /// The operators' listener was taken.
-    door: bool,
+    admin: bool,
 }
 
 impl Before {
@@ -62,7 +62,7 @@
         let other = stream.try_clone().map_err(|error| error.to_string())?;
         let mut link = Link::new(UnixStream::from_std(other))?;
         link.send(&Frame::Ask, Vec::new())?;
-        let mut before = Before { link, stream, listeners: Vec::new(), door: false };
+        let mut before = Before { link, stream, listeners: Vec::new(), admin: false };
         match before.answer()? {
             (Frame::Listeners(places), descriptors) => {
                 before.listeners = places.into_iter().zip(descriptors).collect();
@@ -92,7 +92,7 @@
     /// The listener at a place, if it has one.
     pub fn listener(&mut self, place: Place) -> Option<TcpListener> {
         let at = self.listeners.iter().position(|(one, _)| *one == place)?;
-        self.door |= matches!(place, Place::Control(_));
+        self.admin |= matches!(place, Place::Control(_));
         let listener = std::net::TcpListener::from(self.listeners.remove(at).1);
         listener.set_nonblocking(true).ok()?;
         Some(TcpListener::from_std(listener))
@@ -101,7 +101,7 @@
     /// Takes over: from here on the other process lets nobody in. Its state, unless it does not answer.
     fn take(&mut self) -> Result<Option<Box<Carried>>, String> {
         let answer =
-            self.link.send(&Frame::Take { door: self.door }, Vec::new()).and_then(|()| self.answer());
+            self.link.send(&Frame::Take { door: self.admin }, Vec::new()).and_then(|()| self.answer());
         match answer {
             Ok((Frame::State(carried), _)) => Ok(Some(carried)),
             Ok((Frame::Refused, _)) => Err("another process is taking over already".into()),
@@ -137,7 +137,7 @@
     /// One wants the listeners.
     Asked(usize),
     /// One takes over, and the operators' listener too or not.
-    Take { peer: usize, door: bool },
+    Take { peer: usize, admin: bool },
     /// A client comes over.
     Client(TcpStream, Vec<u8>),
     /// An operator has taken a target out there, or called it back.
@@ -382,7 +382,7 @@
     fn take(&mut self, id: usize, frame: Frame, descriptors: Vec<OwnedFd>, heard: &mut Vec<Heard>) -> bool {
         match (self.role, frame) {
             (Role::Caller, Frame::Ask) => heard.push(Heard::Asked(id)),
-            (Role::Caller, Frame::Take { door }) => heard.push(Heard::Take { peer: id, door }),
+            (Role::Caller, Frame::Take { door }) => heard.push(Heard::Take { peer: id, admin: door }),
             (Role::Older, Frame::Client(input)) => {
                 for descriptor in descriptors {
                     let stream = std::net::TcpStream::from(descriptor);
