--- /dev/null
+++ b/lab/src/settings/check/tests.rs
@@ -0,0 +1,204 @@
+use super::super::world::{draw, play};
+use super::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+const RAN: Option<(Duration, Outcome)> = Some((Duration::from_millis(50), Outcome::Reset));
+const FULL: Option<(Duration, Outcome)> = Some((Duration::from_millis(5), Outcome::Full));
+
+/// One host, one class, one plan, and nothing seen but what a test plants.
+fn history(effect: Effect) -> History {
+    let mut settings = draw(&mut ChaCha8Rng::seed_from_u64(1));
+    settings.hosts = 1;
+    settings.classes.truncate(1);
+    settings.classes[0] = Class { effect, window: MS(1000), in_order: true, ..settings.classes[0].clone() };
+    settings.plans.truncate(1);
+    settings.plans[0].limit = Some(Limit { rate: 1.0, burst: 10.0, slack: 2.0 });
+    settings.units = Units { largest: 2.0, cold_units: 4.0, ..settings.units };
+    settings.rules.drain_grace = MS(500);
+    settings.rules.budget = Some(Budget { free: 1.0, share: 0.0, window: MS(1000) });
+    settings.limits.max_attempts = 2;
+    let mut history = History::new(settings);
+    history.lives.push(Duration::ZERO);
+    (1..=3).for_each(|node| history.placed(NodeId(node), node, node));
+    history
+}
+
+fn ask(history: &mut History, id: u64, told: Option<Ending>) {
+    let new = NewRequest {
+        id: RequestId(id),
+        key: 7,
+        deadline: EPOCH + MS(2000),
+        units: 2.0,
+        volume_hosts: 1.0,
+        ..NewRequest::default()
+    };
+    let origin = Origin { conn: 0, place: id };
+    history.asked(Asked { life: 0, at: Duration::ZERO, new, origin });
+    if let Some(ending) = told {
+        history.answered(0, origin, MS(100 * id), ending);
+    }
+}
+
+fn send(history: &mut History, request: u64, number: u32, at: u64, over: Option<(Duration, Outcome)>) {
+    let (request, node) = (RequestId(request), NodeId(number + 1));
+    history.sent(Sent { life: 0, request, number, node, at: MS(at), over });
+}
+
+#[test]
+fn each_check_finds_the_fault_that_is_planted_for_it() {
+    use Ending::{Failed, Refused, Served};
+    type Fault = (&'static str, Effect, fn(&mut History), fn(&Breaches) -> u64);
+    let faults: [Fault; 14] = [
+        ("no answer", Effect::Safe, |it| ask(it, 1, None), |it| it.unanswered),
+        ("a late answer", Effect::Safe, |it| ask(it, 90, Some(Served)), |it| it.unanswered),
+        (
+            "two answers",
+            Effect::Safe,
+            |it| {
+                ask(it, 1, Some(Served));
+                it.answered(0, Origin { conn: 0, place: 1 }, MS(200), Failed);
+            },
+            |it| it.answered_twice,
+        ),
+        (
+            "an effect twice",
+            Effect::Unsafe,
+            |it| {
+                ask(it, 1, Some(Served));
+                send(it, 1, 0, 0, RAN);
+                send(it, 1, 1, 60, FULL);
+            },
+            |it| it.repeated,
+        ),
+        (
+            "a key beyond its group",
+            Effect::Keyed(Group::Shard),
+            |it| {
+                ask(it, 1, Some(Served));
+                send(it, 1, 0, 0, RAN);
+                send(it, 1, 1, 60, FULL);
+            },
+            |it| it.repeated,
+        ),
+        (
+            "a key beyond its window",
+            Effect::Keyed(Group::All),
+            |it| {
+                ask(it, 1, Some(Served));
+                send(it, 1, 0, 0, RAN);
+                send(it, 1, 1, 1001, FULL);
+            },
+            |it| it.repeated,
+        ),
+        (
+            "called harmless though it may have run",
+            Effect::Unsafe,
+            |it| {
+                ask(it, 1, Some(Refused));
+                send(it, 1, 0, 0, RAN);
+            },
+            |it| it.refused_wrongly,
+        ),
+        (
+            "an attempt too many",
+            Effect::Safe,
+            |it| {
+                ask(it, 1, Some(Served));
+                [(0, 0), (1, 10), (2, 20)].into_iter().for_each(|(n, at)| send(it, 1, n, at, FULL));
+            },
+            |it| it.attempts,
+        ),
+        (
+            "two out together",
+            Effect::Safe,
+            |it| {
+                ask(it, 1, Some(Served));
+                send(it, 1, 0, 0, RAN);
+                send(it, 1, 1, 10, FULL);
+            },
+            |it| it.attempts,
+        ),
+        (
+            "new work after the grace of a drain",
+            Effect::Safe,
+            |it| {
+                ask(it, 1, Some(Served));
+                let state = NodeState::Draining;
+                it.told(Told { life: 0, at: Duration::ZERO, node: NodeId(1), state });
+                send(it, 1, 0, 501, FULL);
+            },
+            |it| it.drains,
+        ),
+        (
+            "a cold node pushed over",
+            Effect::Safe,
+            |it| {
+                it.started.push(Started { node: NodeId(1), at: Duration::ZERO, power: 0.01 });
+                (1..=4).for_each(|id| {
+                    ask(it, id, Some(Served));
+                    send(it, id, 0, id, FULL);
+                });
+            },
+            |it| it.cold,
+        ),
+        (
+            "a limit passed",
+            Effect::Safe,
+            |it| {
+                (1..=7).for_each(|id| {
+                    ask(it, id, Some(Served));
+                    send(it, id, 0, id, FULL);
+                });
+            },
+            |it| it.limits,
+        ),
+        (
+            "out of turn",
+            Effect::Safe,
+            |it| {
+                (1..=2).for_each(|id| ask(it, id, Some(Served)));
+                send(it, 2, 0, 10, FULL);
+            },
+            |it| it.order,
+        ),
+        (
+            "beyond the budget",
+            Effect::Safe,
+            |it| {
+                for id in 1..=2 {
+                    ask(it, id, Some(Served));
+                    send(it, id, 0, 0, FULL);
+                    send(it, id, 1, 60, FULL);
+                }
+            },
+            |it| it.budget,
+        ),
+    ];
+    for (name, effect, plant, found) in faults {
+        let mut history = history(effect);
+        plant(&mut history);
+        assert!(found(&history.check()) > 0, "{name}");
+    }
+    let mut sound = history(Effect::Unsafe);
+    ask(&mut sound, 1, Some(Refused));
+    send(&mut sound, 1, 0, 0, FULL);
+    send(&mut sound, 1, 1, 60, FULL);
+    assert_eq!(sound.check(), Breaches::default(), "what keeps the rules is left alone");
+}
+
+#[test]
+fn settings_drawn_at_random_break_no_rule_and_play_the_same_again() {
+    let _processor = crate::sync::processor::shared();
+    let mut requests = 0;
+    for seed in 1..=4 {
+        let seen = play(seed, Duration::from_secs(2));
+        requests += seen.requests.len();
+        assert_eq!(seen.check(), Breaches::default(), "seed {seed}");
+    }
+    let shape = |it: History| (it.requests.len(), it.attempts.len(), it.answers.len());
+    let plays = [1, 1].map(|seed| shape(play(seed, Duration::from_secs(1))));
+    assert_eq!(plays[0], plays[1]);
+    assert!(requests > 200, "{requests} requests");
+}
