Cold nodes: what a cold node served counts by its warmth; the rule's reading settled

And hosts that are idle kept a whole place each. Change: what a cold node served is set against its warmth and averaged, so that hosts' figures sum to what it serves; idle hosts keep half of what the rule puts down to chance.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -192,8 +192,6 @@
     wake_at: Option<Duration>,
 }
 
-// ---------------------------------------------------------------- event intake
-
 impl Scheduler {
     /// A scheduler for one host. `seed` serves only to spread calls that hosts would make together.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -338,7 +336,8 @@
             node.out.remove(&end.id);
             if end.outcome == Outcome::Served {
                 node.answered = node.answered.max(sent);
-                self.powers.entry(node.entry.shard).or_default().served += request.new.units;
+                let warm = request.new.units / node.warmth(self.now, &self.settings.rules);
+                self.powers.entry(node.entry.shard).or_default().served += warm;
             }
             node.learn(self.now, end, &self.settings);
         }
@@ -385,8 +384,6 @@
     }
 }
 
-// ---------------------------------------------------------------- the three layers
-
 impl ClassControl {
     /// Model estimator: the slope β of performance against slots over the last intervals, by least squares.
     fn refit(&self) -> Option<f64> {
@@ -441,18 +438,18 @@
         self.forget();
     }
 
-    /// A shard's figure stands while only cold nodes or none serve it, for the node that takes over.
+    /// What a shard serves this host when warm. What a cold node served is set against its warmth, and weighs
+    /// less by it: hosts' figures sum to what it serves. The figure stands while no node serves the shard.
     fn learn_powers(&mut self, interval: Duration) {
         let shards = self.nodes.values().map(|node| node.entry.shard);
         shards.for_each(|shard| self.powers.entry(shard).or_default().at = self.now);
-        let warm = |node: &Node| node.is_ready() && node.cold_until(&self.settings.rules) <= self.now;
         for (shard, power) in &mut self.powers {
             let rate = std::mem::take(&mut power.served) / interval.as_secs_f64();
-            if self.nodes.values().any(|node| node.entry.shard == *shard && warm(node)) {
-                power.intervals = (power.intervals + 1.0).min(1.0 / SMOOTHING);
-                power.rate += (rate - power.rate) / power.intervals;
-            } else {
-                power.rate = power.rate.max(rate);
+            let ready = self.nodes.values().filter(|node| node.entry.shard == *shard && node.is_ready());
+            let warmths = ready.map(|node| node.warmth(self.now, &self.settings.rules));
+            if let Some(warmth) = warmths.reduce(f64::max) {
+                power.intervals = (power.intervals + warmth).min(1.0 / SMOOTHING);
+                power.rate += (rate - power.rate) * warmth / power.intervals;
             }
         }
     }
@@ -537,11 +534,7 @@
             held.for_each(|id| node.demand[self.requests[id].new.class] += elapsed);
         }
     }
-}
 
-// ---------------------------------------------------------------- dispatch
-
-impl Scheduler {
     /// Fills nodes with work, the shortest wait first, so that none waits behind one that is silent or slow.
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
         let wait = |node: &Node| {
@@ -746,8 +739,6 @@
     settings.classes.iter().map(|class| class.aim).min().unwrap_or(INTERVAL)
 }
 
-// ---------------------------------------------------------------- rule guards
-
 impl Scheduler {
     /// Whether the rules let a held request go to a node now.
     fn permitted(&self, request: &Request, node: &Node) -> bool {
@@ -817,13 +808,15 @@
         part.filter(|_| request.attempts == 0)
     }
 
-    /// Rule 4: a cold node gets this host's part of what it always bears, or of its least present capacity. A
-    /// place not used within the rule's time is lost, or hosts that were idle would all use theirs at once.
+    /// Rule 4: a cold node gets this host's part of what it always bears, or of its least present capacity.
+    /// Idle hosts may all come at once: they keep half of what the rule puts down to chance for that.
     fn cold_permits(&self, node: &Node) -> bool {
         let (mut cold, rules, mean) = (node.cold, &self.settings.rules, self.settings.units.mean);
+        let borne = (self.settings.units.cold_units / mean.max(f64::MIN_POSITIVE)).max(1.0);
+        let kept = rules.fall.mul_f64(((borne.sqrt() + 1.0) / borne).min(1.0));
         let mut open = |rate: f64| {
             let paid = cold.fill(self.now, rate, f64::INFINITY);
-            paid >= 0.0 && paid % mean.max(f64::MIN_POSITIVE) <= rate * rules.fall.as_secs_f64()
+            paid >= 0.0 && paid % mean.max(f64::MIN_POSITIVE) <= rate * kept.as_secs_f64()
         };
         node.cold_until(rules) <= self.now || open(self.cold_rate(node))
     }
@@ -832,12 +825,10 @@
         let rules = &self.settings.rules;
         let even = 1.0 / f64::from(self.settings.hosts.max(1));
         let always = self.settings.units.cold_units * node.cold_share.unwrap_or(even);
-        let age = self.now.saturating_sub(node.entry.started.unwrap_or_default());
         let all: f64 = self.powers.values().map(|power| power.rate).sum();
         let mean = all / self.powers.len().max(1) as f64;
         let own = self.powers.get(&node.entry.shard).map_or(0.0, |power| power.rate);
-        let warmth = rules.cold_share + (1.0 - rules.cold_share) * age.div_duration_f64(rules.cold);
-        let capacity = own.max(mean) * warmth;
+        let capacity = own.max(mean) * node.warmth(self.now, rules);
         // Of many hosts few have work at a node at a time, and the spread of their sum falls with their root.
         let margin = (1.0 - even.sqrt()).max(COLD_MARGIN);
         (margin * rules.fall_multiple * capacity).max(always / rules.fall.as_secs_f64().max(0.001))
@@ -880,8 +871,6 @@
     }
 }
 
-// ---------------------------------------------------------------- health
-
 impl Scheduler {
     /// Whether a node may be sent more: overtaken and streaming hold no slot, overdue slow it down (i8370b0).
     fn has_room(&self, node: &Node) -> bool {
@@ -954,6 +943,12 @@
         self.entry.started.map_or(Duration::ZERO, |started| started + rules.cold)
     }
 
+    /// Present capacity, as a part of that of a warm node: it grows evenly.
+    fn warmth(&self, now: Duration, rules: &Rules) -> f64 {
+        let age = self.entry.started.map_or(rules.cold, |started| now.saturating_sub(started));
+        rules.cold_share + (1.0 - rules.cold_share) * age.div_duration_f64(rules.cold).min(1.0)
+    }
+
     fn learn(&mut self, now: Duration, end: &AttemptEnd, settings: &Settings) {
         match end.outcome {
             Outcome::Served | Outcome::Error => {
