--- a/lab/benches/ledger.rs
+++ b/lab/benches/ledger.rs
@@ -11,30 +11,30 @@
 use topazpath::vrrp::timers::Timers;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
-const CEDE: Duration = Duration::from_millis(1000);
+const RECLAIM: Duration = Duration::from_millis(1000);
 const GRANT: Duration = Duration::from_millis(400);
 
-/// Each holder's newest cession or grant: its part and its end. All others are taken to be over.
+/// Each holder's newest reclaim or grant: its part and its end. All others are taken to be over.
 #[derive(Default)]
 struct Plain {
-    ceded: BTreeMap<usize, (u32, Duration)>,
+    reclaimed: BTreeMap<usize, (u32, Duration)>,
     granted: BTreeMap<usize, (u32, Duration)>,
 }
 
 impl Plain {
-    /// The same rule: at every end from now on, what is ceded covers what is granted.
+    /// The same rule: at every end from now on, what is reclaimed covers what is granted.
     fn is_covered(&self, now: Duration) -> bool {
-        let ends = self.ceded.values().chain(self.granted.values()).map(|(_, until)| *until);
+        let ends = self.reclaimed.values().chain(self.granted.values()).map(|(_, until)| *until);
         ends.filter(|at| *at > now).chain([now]).all(|at| {
             let sum = |moves: &BTreeMap<usize, (u32, Duration)>| -> u64 {
                 moves.values().filter(|(_, until)| at < *until).map(|(part, _)| u64::from(*part)).sum()
             };
-            sum(&self.granted) <= sum(&self.ceded)
+            sum(&self.granted) <= sum(&self.reclaimed)
         })
     }
 }
 
-/// Holders of which every second one cedes and the others are granted as much; one round renews all.
+/// Holders of which every second one gives back and the others are granted as much; one round renews all.
 fn ledger(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("one move");
     for holders in [3, 30, 300, 1000] {
@@ -48,7 +48,7 @@
                 now += MS(100) / *holders as u32;
                 ledger.held(now, holder, version - 1, false);
                 if holder % 2 == 0 {
-                    black_box(ledger.cede(now, holder, version, part, CEDE));
+                    black_box(ledger.reclaim(now, holder, version, part, RECLAIM));
                 } else {
                     black_box(ledger.grant(now, holder, version, part, (now, GRANT)));
                 }
@@ -67,7 +67,7 @@
                 holder = (holder + 1) % holders;
                 now += MS(100) / *holders as u32;
                 if holder % 2 == 0 {
-                    plain.ceded.insert(holder, (part.0, now + CEDE));
+                    plain.reclaimed.insert(holder, (part.0, now + RECLAIM));
                 } else {
                     plain.granted.insert(holder, (part.0, now + GRANT));
                     if !plain.is_covered(now) {
--- a/lab/src/planners/simulation.rs
+++ b/lab/src/planners/simulation.rs
@@ -87,7 +87,7 @@
     let faulty = |planted| {
         move |seed| {
             let seed = arguments.seed.wrapping_mul(1_000_000_007) + seed;
-            // Every third schedule has more machines, so that several cede to several.
+            // Every third schedule has more machines, so that parts move from several to several.
             let forwarders = [2, 4, 7][seed as usize % 3];
             Play { forwarders, faults: true, lead: (2.0, 8.0), load: 1.5, planted, ..base(seed) }
         }
@@ -105,7 +105,7 @@
     );
     let mut found = true;
     let mut planted = Map::new();
-    for (name, fault) in [("cedes early", Planted::CedesEarly), ("not young", Planted::NotYoung)] {
+    for (name, fault) in [("reclaims early", Planted::ReclaimsEarly), ("not young", Planted::NotYoung)] {
         let played = many(200, faulty(fault));
         println!("  planted, {name}: found {} times in 200 schedules", played.oversummed);
         found &= played.oversummed > 0;
--- a/lab/src/planners/world.rs
+++ b/lab/src/planners/world.rs
@@ -48,8 +48,8 @@
 pub enum Planted {
     /// Nothing.
     Nothing,
-    /// A cession counts from the report, as grants do, and so ends before the planner thinks.
-    CedesEarly,
+    /// A reclaim counts from the report, as grants do, and so ends before the planner thinks.
+    ReclaimsEarly,
     /// A forwarder that starts uses its even part at once.
     NotYoung,
 }
@@ -422,9 +422,9 @@
         }
         let own = forwarder.clock.at(now);
         for mut plan in std::mem::take(&mut forwarder.inbox) {
-            if play.planted == Planted::CedesEarly {
+            if play.planted == Planted::ReclaimsEarly {
                 for (_, moved) in &mut plan.moves {
-                    if let topazpath::shares::Move::Cede(_, lasts) = moved {
+                    if let topazpath::shares::Move::Reclaim(_, lasts) = moved {
                         *lasts /= 2;
                     }
                 }
--- a/lab/src/planners/world/tests.rs
+++ b/lab/src/planners/world/tests.rs
@@ -29,7 +29,7 @@
 #[test]
 fn deliberate_faults_are_found() {
     let _processor = crate::sync::processor::shared();
-    for planted in [Planted::CedesEarly, Planted::NotYoung] {
+    for planted in [Planted::ReclaimsEarly, Planted::NotYoung] {
         let found = (0..60).any(|seed| play(faulty(planted, seed)).oversummed > 0);
         assert!(found, "{planted:?}");
     }
--- a/src/planner/client/mod.rs
+++ b/src/planner/client/mod.rs
@@ -58,8 +58,11 @@
 #[derive(Serialize)]
 struct Report {
     partitions: Vec<PartitionReport>,
-    cedes: bool,
-    ceded: usize,
+    /// Operators know these two by their older names.
+    #[serde(rename = "cedes")]
+    gives_back: bool,
+    #[serde(rename = "ceded")]
+    reclaimed: usize,
     granted: usize,
     volumes: usize,
     plans_taken: u64,
@@ -351,11 +354,11 @@
                 led_by: self.links.iter().filter(leads).map(|link| link.address).collect(),
             }
         };
-        let (ceded, granted) = self.store.in_force(at);
+        let (reclaimed, granted) = self.store.in_force(at);
         let report = Report {
             partitions: (0..self.partitions.len()).map(partition).collect(),
-            cedes: !self.store.is_young(at),
-            ceded,
+            gives_back: !self.store.is_young(at),
+            reclaimed,
             granted,
             volumes: self.meter.volumes().count(),
             plans_taken: self.taken,
@@ -366,7 +369,7 @@
             |name: &str| report.partitions.iter().filter(|partition| partition.mode == name).count();
         let mut lines = format!(
             "planners_partitions_planned:{}\r\nplanners_partitions_stale:{}\r\nplanners_partitions_safe:{}\r\n\
-             planners_moves_ceded:{ceded}\r\nplanners_moves_granted:{granted}\r\nplanners_plans_taken:{}\r\n\
+             planners_moves_ceded:{reclaimed}\r\nplanners_moves_granted:{granted}\r\nplanners_plans_taken:{}\r\n\
              planners_plans_untaken:{}\r\n",
             in_mode("planned"),
             in_mode("stale"),
--- a/src/shares/divide.rs
+++ b/src/shares/divide.rs
@@ -9,8 +9,8 @@
     pub even: Part,
     /// What it would use, as a part of the whole.
     pub wanted: f64,
-    /// Whether it can cede now: one that has just started cannot.
-    pub cedes: bool,
+    /// Whether it can give back now: one that has just started cannot.
+    pub gives_back: bool,
 }
 
 /// Part of what is wanted that is given beyond it, where there is enough: demand grows between two reports.
@@ -21,7 +21,7 @@
 /// Everybody gets its floor. Where the rest covers what is wanted beyond, with some headroom, what is over goes to all
 /// by their even parts; where it does not, it goes by what is wanted.
 pub fn divide(all: &[Wants]) -> Vec<Part> {
-    let keeps = |one: &Wants| f64::from(if one.cedes { one.even.floor() } else { one.even }.0);
+    let keeps = |one: &Wants| f64::from(if one.gives_back { one.even.floor() } else { one.even }.0);
     let whole = f64::from(Part::WHOLE.0);
     let evens: f64 = all.iter().map(|one| f64::from(one.even.0)).sum();
     let kept: f64 = all.iter().map(keeps).sum();
--- a/src/shares/divide/tests.rs
+++ b/src/shares/divide/tests.rs
@@ -2,7 +2,7 @@
 use proptest::prelude::*;
 
 fn wants(wanted: f64) -> Wants {
-    Wants { even: Part::even(4.0), wanted, cedes: true }
+    Wants { even: Part::even(4.0), wanted, gives_back: true }
 }
 
 #[test]
@@ -22,8 +22,8 @@
 }
 
 #[test]
-fn one_that_cannot_cede_keeps_its_even_part() {
-    let parts = divide(&[wants(3.0), Wants { cedes: false, ..wants(0.0) }]);
+fn one_that_cannot_give_back_keeps_its_even_part() {
+    let parts = divide(&[wants(3.0), Wants { gives_back: false, ..wants(0.0) }]);
     assert_eq!(parts[1], Part(250_000));
     assert_eq!(parts[0], Part(250_000));
 }
@@ -34,7 +34,7 @@
         all in prop::collection::vec((1.0..50.0_f64, prop::num::f64::ANY, any::<bool>()), 0..20)
     ) {
         let all: Vec<Wants> =
-            all.into_iter().map(|(among, wanted, cedes)| Wants { even: Part::even(among), wanted, cedes }).collect();
+            all.into_iter().map(|(among, wanted, gives_back)| Wants { even: Part::even(among), wanted, gives_back }).collect();
         let parts = divide(&all);
         let sum: u64 = parts.iter().map(|part| u64::from(part.0)).sum();
         prop_assert!(sum <= all.iter().map(|one| u64::from(one.even.0)).sum());
--- a/src/shares/ledger.rs
+++ b/src/shares/ledger.rs
@@ -1,8 +1,8 @@
 //! What one planner has moved of one resource, and what it may move on.
 //!
 //! The planner knows of each forwarder which moves it sent and the newest one that the forwarder holds. Any move sent
-//! since may be in force instead, or soon, or never. So of what was ceded only the least counts, for the shortest time;
-//! of what was granted the most, for the longest. A move is made only if, at every time from now on, what was ceded for
+//! since may be in force instead, or soon, or never. So of what was reclaimed only the least counts, for the shortest time;
+//! of what was granted the most, for the longest. A move is made only if, at every time from now on, what was reclaimed for
 //! certain covers what may be granted. Times are the planner's; each end keeps a margin for clocks that run apart.
 //!
 //! The sums over all forwarders are kept by slots of time, so that a move costs the same for three forwarders and for a
@@ -15,7 +15,7 @@
 /// Moves to one forwarder that may be in force. A forwarder that hears nothing for longer gets no new ones.
 const MOST_OPEN: usize = 32;
 
-/// Sums are kept for as much time at once. A cession counts only in slots that it fills, a grant in all it touches.
+/// Sums are kept for as much time at once. A reclaim counts only in slots that it fills, a grant in all it touches.
 const SLOT: Duration = Duration::from_millis(20);
 /// Slots that are kept: more than the longest move with its margins.
 const SLOTS: usize = 260;
@@ -25,13 +25,13 @@
 struct Sent {
     version: u64,
     moved: Moved,
-    /// A cession certainly holds until then, a grant possibly does.
+    /// A reclaim certainly holds until then, a grant possibly does.
     until: Duration,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Moved {
-    Ceded(Part),
+    Reclaimed(Part),
     Granted(Part),
 }
 
@@ -53,11 +53,11 @@
         if !holds_one {
             return Part::NONE;
         }
-        let ceded = |sent: &Sent| match sent.moved {
-            Moved::Ceded(part) if from < sent.until && to <= sent.until => part,
+        let reclaimed = |sent: &Sent| match sent.moved {
+            Moved::Reclaimed(part) if from < sent.until && to <= sent.until => part,
             _ => Part::NONE,
         };
-        self.sent.iter().map(ceded).min().unwrap_or_default()
+        self.sent.iter().map(reclaimed).min().unwrap_or_default()
     }
 
     /// The part that it may use besides its own at a time, at the most.
@@ -83,7 +83,7 @@
 /// A forwarder's process, by a number that the planner never gives twice.
 pub type Holder = usize;
 
-/// What is ceded less what is granted, in each slot from the present one on.
+/// What is reclaimed less what is granted, in each slot from the present one on.
 #[derive(Clone, Debug, Default)]
 struct Cover {
     /// The present slot; its sum lies at its number by the length of the ring.
@@ -135,13 +135,20 @@
 }
 
 impl Ledger {
-    /// Cedes a part of a holder's own from when it has the plan, which is sent now; false if what is granted would no
+    /// Reclaims a part of a holder's own from when it has the plan, which is sent now; false if what is granted would no
     /// longer be covered, or too much is on its way already. Then nothing is noted, and nothing may be sent.
-    pub fn cede(&mut self, now: Duration, holder: Holder, version: u64, part: Part, lasts: Duration) -> bool {
+    pub fn reclaim(
+        &mut self,
+        now: Duration,
+        holder: Holder,
+        version: u64,
+        part: Part,
+        lasts: Duration,
+    ) -> bool {
         let lasts = lasts.min(LONGEST);
         // Its clock may run fast and ours slowly, and so its time be over before it is by ours.
         let until = now + lasts - lasts * 2 / DRIFT;
-        self.note(now, holder, Sent { version, moved: Moved::Ceded(part), until })
+        self.note(now, holder, Sent { version, moved: Moved::Reclaimed(part), until })
     }
 
     /// Grants a part to a holder for a time that it counts from a report that came at `asked`; likewise.
@@ -157,7 +164,7 @@
         self.note(now, holder, Sent { version, moved: Moved::Granted(part), until })
     }
 
-    /// The most that could be granted to a holder now. What it was granted before is replaced, and what it ceded ends.
+    /// The most that could be granted to a holder now. What it was granted before is replaced, and what it gave back is its own again.
     pub fn most(&mut self, now: Duration, holder: Holder, (asked, lasts): (Duration, Duration)) -> Part {
         self.cover.advance(now);
         let until = slot(granted_until(asked, lasts));
@@ -176,9 +183,9 @@
         if let Some(kept) = account.sent.iter().rposition(|sent| sent.version <= version) {
             account.sent.drain(..kept);
             let first = &mut account.sent[0];
-            // A cession that was not taken is none.
-            if refused && matches!(first.moved, Moved::Ceded(_)) {
-                first.moved = Moved::Ceded(Part::NONE);
+            // A reclaim that was not taken is none.
+            if refused && matches!(first.moved, Moved::Reclaimed(_)) {
+                first.moved = Moved::Reclaimed(Part::NONE);
             }
         }
         self.cover.count(account, 1);
@@ -189,7 +196,7 @@
         self.accounts.is_empty()
     }
 
-    /// What a holder has ceded for certain, and was possibly granted, as of now.
+    /// What was reclaimed from a holder for certain, and was possibly granted to it, as of now.
     pub fn of(&self, now: Duration, holder: Holder) -> (Part, Part) {
         let account = self.accounts.get(&holder);
         account.map_or((Part::NONE, Part::NONE), |account| (account.certain(now, now), account.possible(now)))
@@ -199,7 +206,7 @@
     pub fn newest(&self, holder: Holder) -> Option<(u64, Move, Duration)> {
         let sent = self.accounts.get(&holder)?.sent.last()?;
         let moved = match sent.moved {
-            Moved::Ceded(part) => Move::Cede(part, Duration::ZERO),
+            Moved::Reclaimed(part) => Move::Reclaim(part, Duration::ZERO),
             Moved::Granted(part) => Move::Grant(part, Duration::ZERO),
         };
         Some((sent.version, moved, sent.until))
@@ -222,7 +229,7 @@
         }
     }
 
-    /// Whether at every time from now on what is ceded covers what is granted: what every move keeps true.
+    /// Whether at every time from now on what is reclaimed covers what is granted: what every move keeps true.
     pub fn is_covered(&mut self, now: Duration) -> bool {
         self.cover.advance(now);
         self.cover.least(u64::MAX, None) >= 0
--- a/src/shares/ledger/tests.rs
+++ b/src/shares/ledger/tests.rs
@@ -5,11 +5,11 @@
 const TENTH: Part = Part(100_000);
 
 #[test]
-fn nothing_is_granted_before_it_is_certainly_ceded() {
+fn nothing_is_granted_before_it_is_certainly_reclaimed() {
     let mut ledger = Ledger::default();
     assert!(!ledger.grant(MS(0), 1, 1, TENTH, (MS(0), MS(400))));
     assert!(ledger.is_empty());
-    assert!(ledger.cede(MS(0), 0, 1, TENTH, MS(800)));
+    assert!(ledger.reclaim(MS(0), 0, 1, TENTH, MS(800)));
     assert!(!ledger.grant(MS(10), 1, 1, TENTH, (MS(10), MS(400))), "it may not have the plan");
     ledger.held(MS(0), 0, 1, false);
     assert_eq!(ledger.most(MS(20), 1, (MS(20), MS(400))), TENTH);
@@ -21,7 +21,7 @@
 #[test]
 fn a_grant_ends_before_what_it_comes_from() {
     let mut ledger = Ledger::default();
-    ledger.cede(MS(0), 0, 1, TENTH, MS(800));
+    ledger.reclaim(MS(0), 0, 1, TENTH, MS(800));
     ledger.held(MS(0), 0, 1, false);
     // Certain until 784, which counts to the slot's begin at 780; a grant of 400 from 370 may last until 782.
     assert!(!ledger.grant(MS(390), 1, 1, TENTH, (MS(370), MS(400))));
@@ -30,23 +30,23 @@
 }
 
 #[test]
-fn a_cession_is_not_taken_back_while_a_grant_may_be_in_force() {
+fn a_reclaim_is_not_taken_back_while_a_grant_may_be_in_force() {
     let mut ledger = Ledger::default();
-    ledger.cede(MS(0), 0, 1, TENTH, MS(800));
+    ledger.reclaim(MS(0), 0, 1, TENTH, MS(800));
     ledger.held(MS(0), 0, 1, false);
     ledger.grant(MS(20), 1, 1, TENTH, (MS(20), MS(400)));
-    assert!(!ledger.cede(MS(100), 0, 2, Part::NONE, MS(800)), "the grant lasts until 432");
-    assert!(ledger.cede(MS(440), 0, 2, Part::NONE, MS(800)));
+    assert!(!ledger.reclaim(MS(100), 0, 2, Part::NONE, MS(800)), "the grant lasts until 432");
+    assert!(ledger.reclaim(MS(440), 0, 2, Part::NONE, MS(800)));
 }
 
 #[test]
 fn of_moves_on_their_way_the_worst_counts() {
     let mut ledger = Ledger::default();
-    ledger.cede(MS(0), 0, 1, TENTH, MS(800));
+    ledger.reclaim(MS(0), 0, 1, TENTH, MS(800));
     ledger.held(MS(0), 0, 1, false);
-    ledger.cede(MS(100), 0, 2, Part(40_000), MS(800));
+    ledger.reclaim(MS(100), 0, 2, Part(40_000), MS(800));
     assert_eq!(ledger.of(MS(100), 0), (Part(40_000), Part::NONE));
-    ledger.cede(MS(200), 0, 3, TENTH, MS(800));
+    ledger.reclaim(MS(200), 0, 3, TENTH, MS(800));
     assert_eq!(ledger.of(MS(200), 0).0, Part(40_000), "the second may be all that it has");
     ledger.held(MS(200), 0, 3, false);
     assert_eq!(ledger.of(MS(200), 0).0, TENTH);
@@ -55,9 +55,9 @@
 }
 
 #[test]
-fn what_was_refused_is_not_ceded_and_what_ended_is_forgotten() {
+fn what_was_refused_is_not_reclaimed_and_what_ended_is_forgotten() {
     let mut ledger = Ledger::default();
-    ledger.cede(MS(0), 0, 1, TENTH, MS(800));
+    ledger.reclaim(MS(0), 0, 1, TENTH, MS(800));
     ledger.held(MS(0), 0, 1, true);
     assert_eq!(ledger.of(MS(0), 0).0, Part::NONE);
     ledger.forget(MS(700));
@@ -69,7 +69,7 @@
 #[test]
 fn a_holder_that_takes_nothing_is_told_no_more() {
     let mut ledger = Ledger::default();
-    let told = (1..100).filter(|version| ledger.cede(MS(0), 0, *version, TENTH, MS(800))).count();
+    let told = (1..100).filter(|version| ledger.reclaim(MS(0), 0, *version, TENTH, MS(800))).count();
     assert_eq!(told, MOST_OPEN);
 }
 
@@ -78,7 +78,7 @@
 #[derive(Clone, Copy, Default)]
 struct Truth {
     version: u64,
-    ceded: (u32, Duration),
+    reclaimed: (u32, Duration),
     granted: (u32, Duration),
 }
 
@@ -86,7 +86,7 @@
     /// Whatever is lost, late or out of order, what holders really use besides their own never exceeds what others
     /// really leave alone.
     #[test]
-    fn grants_in_force_are_covered_by_cessions_in_force(
+    fn grants_in_force_are_covered_by_reclaims_in_force(
         steps in prop::collection::vec((0..4_usize, 0..4_u8, 0..100_000_u32, 0..120_u64, 0..500_u64), 1..200),
         fast in prop::collection::vec(any::<bool>(), 4)
     ) {
@@ -99,8 +99,8 @@
             let (lasts, asked) = (MS(lasts), now.saturating_sub(MS(wait / 2)));
             version += 1;
             match what {
-                0 if ledger.cede(now, holder, version, Part(part), lasts) => {
-                    on_way.push((holder, version, Move::Cede(Part(part), lasts), now, asked));
+                0 if ledger.reclaim(now, holder, version, Part(part), lasts) => {
+                    on_way.push((holder, version, Move::Reclaim(Part(part), lasts), now, asked));
                 }
                 1 if ledger.grant(now, holder, version, Part(part), (asked, lasts)) => {
                     on_way.push((holder, version, Move::Grant(Part(part), lasts), now, asked));
@@ -112,8 +112,8 @@
                     if version > it.version {
                         let drifted = |lasts: Duration| if fast[to] { lasts - lasts * 198 / 10_000 } else { lasts + lasts * 202 / 10_000 };
                         *it = match moved {
-                            Move::Cede(part, lasts) => Truth { version, ceded: (part.0, now + drifted(lasts)), granted: (0, MS(0)) },
-                            Move::Grant(part, lasts) => Truth { version, ceded: (0, MS(0)), granted: (part.0, asked + drifted(lasts)) },
+                            Move::Reclaim(part, lasts) => Truth { version, reclaimed: (part.0, now + drifted(lasts)), granted: (0, MS(0)) },
+                            Move::Grant(part, lasts) => Truth { version, reclaimed: (0, MS(0)), granted: (part.0, asked + drifted(lasts)) },
                         };
                         if part % 3 > 0 {
                             ledger.held(now, to, version, false);
@@ -124,9 +124,9 @@
             }
             prop_assert!(ledger.is_covered(now));
             let in_force = |(part, until): (u32, Duration)| if now < until { i64::from(part) } else { 0 };
-            let ceded: i64 = truth.iter().map(|it| in_force(it.ceded)).sum();
+            let reclaimed: i64 = truth.iter().map(|it| in_force(it.reclaimed)).sum();
             let granted: i64 = truth.iter().map(|it| in_force(it.granted)).sum();
-            prop_assert!(granted <= ceded, "{granted} granted, {ceded} ceded");
+            prop_assert!(granted <= reclaimed, "{granted} granted, {reclaimed} reclaimed");
         }
     }
 }
--- a/src/shares/meter.rs
+++ b/src/shares/meter.rs
@@ -8,7 +8,7 @@
 
 /// A rate is smoothed over so much time.
 const MEMORY: Duration = Duration::from_millis(500);
-/// A volume that nobody asks for is told of for so long, so that it can cede.
+/// A volume that nobody asks for is told of for so long, so that it can be reclaimed.
 const KEPT: Duration = Duration::from_secs(60);
 /// Volumes that are metered; those beyond go by even parts.
 const MOST: usize = 65_536;
--- a/src/shares/mod.rs
+++ b/src/shares/mod.rs
@@ -2,9 +2,9 @@
 //! clock, no randomness: reports in, plans out, times handed in.
 //!
 //! Each forwarder has an even part of each shared thing, which it may use without anybody. A planner moves parts: one
-//! forwarder *cedes* some of its own for a while, and others are *granted* no more than is certainly ceded, for no
+//! forwarder *gives back* some of its own for a while, and others are *granted* no more than is certainly reclaimed, for no
 //! longer. So the parts in force never sum to more than the whole, whatever is lost, late, repeated or restarted, and
-//! however many planners believe themselves to be in charge: each of them moves only what was ceded to it.
+//! however many planners believe themselves to be in charge: each of them moves only what was given back to it.
 //! docs/planners.md has the argument and the ways weighed.
 //!
 //! From below: [`Part`] and the messages, [`deal`] (which planner, which prober), [`divide`] (who is to have what),
@@ -21,11 +21,11 @@
 use std::time::Duration;
 
 /// The longest that a move may last. A forwarder that starts holds to its floor for as long, since it cannot know what
-/// it ceded before; a move that says more is cut to it.
+/// it gave back before; a move that says more is cut to it.
 pub const LONGEST: Duration = Duration::from_secs(5);
 /// By how much a clock may run fast or slow, as a part: one in a hundred.
 pub const DRIFT: u32 = 100;
-/// Part of its even part that a forwarder never cedes: one in four. It may use that from its start on.
+/// Part of its even part that a forwarder never gives back: one in four. It may use that from its start on.
 pub const FLOOR: u32 = 4;
 
 /// A part of a shared thing, in whole millionths, so that sums are exact.
@@ -43,7 +43,7 @@
         Part((f64::from(Part::WHOLE.0) / among.max(1.0)) as u32)
     }
 
-    /// What a forwarder with this even part never cedes.
+    /// What a forwarder with this even part never gives back.
     pub fn floor(self) -> Part {
         Part(self.0 / FLOOR)
     }
@@ -96,7 +96,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Move {
     /// The forwarder leaves this part alone for so long after it has the plan.
-    Cede(Part, Duration),
+    Reclaim(Part, Duration),
     /// The forwarder may use this part besides, for so long after it asked.
     Grant(Part, Duration),
 }
@@ -132,13 +132,13 @@
     pub incarnation: u64,
     /// Counts its reports to this partition; a plan says which it answers.
     pub number: u64,
-    /// Whether it may cede: one that has just started may not.
-    pub cedes: bool,
+    /// Whether it may give back: one that has just started may not.
+    pub gives_back: bool,
     /// The highest term that it knows of.
     pub term: Option<Term>,
     /// The newest plan of that term that it holds.
     pub holds: u64,
-    /// Resources whose cession in that plan it did not take.
+    /// Resources whose reclaim in that plan it did not take.
     pub refused: Vec<Resource>,
     /// What it wants.
     pub demands: Vec<Demand>,
--- a/src/shares/planner.rs
+++ b/src/shares/planner.rs
@@ -12,16 +12,16 @@
 pub struct Settings {
     /// How long a grant lasts. A machine that dies keeps its grants from others for as long.
     pub grant: Duration,
-    /// How long a cession lasts: longer, since it has to cover a grant.
-    pub cede: Duration,
+    /// How long a reclaim lasts: longer, since it has to cover a grant.
+    pub reclaim: Duration,
     /// A forwarder that says nothing for so long is gone.
     pub silent: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        let (grant, cede) = (Duration::from_millis(400), Duration::from_millis(1000));
-        Settings { grant, cede, silent: Duration::from_millis(1000) }
+        let (grant, reclaim) = (Duration::from_millis(400), Duration::from_millis(1000));
+        Settings { grant, reclaim, silent: Duration::from_millis(1000) }
     }
 }
 
@@ -226,7 +226,7 @@
                     }
                     return Some(holder);
                 }
-                // Its moves count to their ends: the new process cedes nothing until then.
+                // Its moves count to their ends: the new process gives back nothing until then.
                 _ => self.fall_silent(holder),
             }
         }
@@ -277,7 +277,8 @@
                 continue;
             }
             let shared = self.shared.entry(demand.resource).or_default();
-            let wants = Wants { even: demand.even, wanted: f64::from(demand.wanted), cedes: report.cedes };
+            let wants =
+                Wants { even: demand.even, wanted: f64::from(demand.wanted), gives_back: report.gives_back };
             if shared.wants.insert(holder, wants).is_none() {
                 shared.reckoned = None;
             }
@@ -301,7 +302,7 @@
         version: u64,
         resource: Resource,
     ) -> Result<Option<Move>, Unsettled> {
-        let Settings { grant, cede, .. } = self.settings;
+        let Settings { grant, reclaim, .. } = self.settings;
         let (Some(shared), Some(known)) = (self.shared.get_mut(&resource), self.holders.get_mut(&holder))
         else {
             return Ok(None);
@@ -315,33 +316,33 @@
         ledger.forget(now);
         let newest = ledger.newest(holder);
         let is_held = newest.is_none_or(|(version, ..)| version <= known.holds);
-        let ceded = ledger.of(now, holder).0;
+        let reclaimed = ledger.of(now, holder).0;
         let moved = if to_have < even.less(LEAST) {
             let part = even.less(to_have);
             // One that is as it should be, and lasts, is not sent again.
             let near = |other: Part| part.0.abs_diff(other.0) < LEAST.0;
-            let lasts = |until: Duration| until > now + cede * 7 / 10;
-            if matches!(newest, Some((_, Move::Cede(other, _), until)) if is_held && near(other) && lasts(until))
+            let lasts = |until: Duration| until > now + reclaim * 7 / 10;
+            if matches!(newest, Some((_, Move::Reclaim(other, _), until)) if is_held && near(other) && lasts(until))
             {
                 return Ok(None);
             }
-            // What was granted of it is waited for: until then as much is ceded on.
-            let sent = [part, part.max(ceded)];
-            let sent = sent.into_iter().find(|part| ledger.cede(now, holder, version, *part, cede));
-            sent.map(|part| Move::Cede(part, cede))
+            // What was granted of it is waited for: until then as much is reclaimed on.
+            let sent = [part, part.max(reclaimed)];
+            let sent = sent.into_iter().find(|part| ledger.reclaim(now, holder, version, *part, reclaim));
+            sent.map(|part| Move::Reclaim(part, reclaim))
         } else {
             let part = to_have.less(even).min(ledger.most(now, holder, (now, grant)));
             let part = if part < LEAST { Part::NONE } else { part };
-            let cedes = matches!(newest, Some((_, Move::Cede(..), until)) if until > now);
-            if part == Part::NONE && !cedes && is_held {
+            let gives_back = matches!(newest, Some((_, Move::Reclaim(..), until)) if until > now);
+            if part == Part::NONE && !gives_back && is_held {
                 return Ok(None);
             }
             if ledger.grant(now, holder, version, part, (now, grant)) {
                 Some(Move::Grant(part, grant))
             } else {
                 // What was granted of its own is waited for.
-                let kept = ledger.cede(now, holder, version, ceded, cede);
-                kept.then_some(Move::Cede(ceded, cede))
+                let kept = ledger.reclaim(now, holder, version, reclaimed, reclaim);
+                kept.then_some(Move::Reclaim(reclaimed, reclaim))
             }
         };
         if moved.is_some() {
--- a/src/shares/planner/tests.rs
+++ b/src/shares/planner/tests.rs
@@ -99,7 +99,7 @@
 }
 
 #[test]
-fn a_new_planner_moves_only_what_is_ceded_to_it() {
+fn a_new_planner_moves_only_what_is_given_back_to_it() {
     let mut bench = Bench::new(&[2.0, 0.0, 0.0, 0.0]);
     bench.rounds(5);
     // It is the lower one of the two, hears of the other's term in the first report, and goes beyond it.
@@ -111,7 +111,7 @@
 }
 
 #[test]
-fn one_that_starts_again_cedes_nothing_and_what_it_had_ends() {
+fn one_that_starts_again_gives_back_nothing_and_what_it_had_ends() {
     let mut bench = Bench::new(&[0.0, 2.0]);
     bench.rounds(5);
     assert!(bench.shares()[1].fraction() > 0.8);
@@ -119,7 +119,7 @@
     bench.rounds(1);
     assert_eq!(bench.shares()[0], bench.even().floor());
     bench.rounds(20);
-    assert_eq!(bench.shares()[1], bench.even(), "what the first process ceded has ended");
+    assert_eq!(bench.shares()[1], bench.even(), "what the first process gave back has ended");
     bench.rounds(50);
     assert!(bench.shares()[1].fraction() > 0.8, "it is no longer young");
 }
@@ -179,14 +179,14 @@
     assert_eq!(bench.stores.iter().flat_map(Store::probes).count(), 40);
 }
 
-/// The first plan that asks forwarder 0 to cede, which has it not taken.
-fn first_cession(bench: &mut Bench) -> Plan {
+/// The first plan that asks forwarder 0 to give back, which has it not taken.
+fn first_reclaim(bench: &mut Bench) -> Plan {
     loop {
         bench.now += MS(100);
         for at in (0..bench.stores.len()).rev() {
             let report = bench.report(at);
             let plan = bench.planner.take(bench.now, &report).unwrap();
-            if at == 0 && matches!(plan.moves.first(), Some((V, Move::Cede(..)))) {
+            if at == 0 && matches!(plan.moves.first(), Some((V, Move::Reclaim(..)))) {
                 return plan;
             }
             bench.stores[at].take(bench.now, 0, &plan, |_| Some(Part::even(2.0))).unwrap();
@@ -197,7 +197,7 @@
 #[test]
 fn a_plan_that_was_lost_is_not_taken_for_held_with_the_next() {
     let mut bench = Bench::new(&[0.0, 2.0]);
-    let lost = first_cession(&mut bench);
+    let lost = first_reclaim(&mut bench);
     bench.now += MS(100);
     let report = bench.report(0);
     let next = bench.planner.take(bench.now, &report).unwrap();
@@ -252,9 +252,9 @@
     // None of its plans arrives, and so it goes on to report what it held before.
     let asked = (0..report.holds + 5).filter(|_| {
         let plan = bench.planner.take(bench.now, &report).unwrap();
-        matches!(plan.moves.first(), Some((V, Move::Cede(part, _))) if *part > Part::NONE)
+        matches!(plan.moves.first(), Some((V, Move::Reclaim(part, _))) if *part > Part::NONE)
     });
-    assert!(asked.count() > 10, "it is asked to cede all the time");
+    assert!(asked.count() > 10, "it is asked to give back all the time");
     let granted = bench.report(1);
     let plan = bench.planner.take(bench.now, &granted).unwrap();
     assert!(!plan.moves.iter().any(|(_, moved)| matches!(moved, Move::Grant(part, _) if *part > Part::NONE)));
--- a/src/shares/store.rs
+++ b/src/shares/store.rs
@@ -1,7 +1,7 @@
 //! What a forwarder holds of the plans that it was sent, and what it may use by them now. Times are its own, on a clock
 //! that goes on while the process is stopped.
 //!
-//! Of each resource it may use its even part, less what it ceded, and besides what it was granted; each move counts
+//! Of each resource it may use its even part, less what it gave back, and besides what it was granted; each move counts
 //! until its own end, whoever sent it. Without planners all of them end, one by one, and the even part is left.
 
 use super::{Demand, ForwarderId, Move, Part, Plan, Probed, Report, Resource, Term, LONGEST};
@@ -60,7 +60,7 @@
     /// Reports sent last: their numbers and times.
     asked: VecDeque<(u64, Duration)>,
     number: u64,
-    /// Cessions of the newest moves that were not taken.
+    /// Resources whose reclaims, in the newest moves, were not taken.
     refused: BTreeSet<Resource>,
     probes: Vec<u64>,
 }
@@ -68,7 +68,7 @@
 /// A move that counts until its end.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Counts {
-    Ceded(Part, Duration),
+    Reclaimed(Part, Duration),
     Granted(Part, Duration),
 }
 
@@ -99,11 +99,11 @@
     pub fn share(&self, now: Duration, resource: Resource, even: Part) -> Part {
         let own = if self.is_young(now) { even.floor() } else { even };
         let Some(held) = self.held.get(&resource) else { return own };
-        let (ceded, granted) = held.sums(now);
-        own.less(ceded).and(granted)
+        let (reclaimed, granted) = held.sums(now);
+        own.less(reclaimed).and(granted)
     }
 
-    /// Whether it cannot know yet what it ceded before it was started.
+    /// Whether it cannot know yet what it gave back before it was started.
     pub fn is_young(&self, now: Duration) -> bool {
         now.saturating_sub(self.started) < LONGEST
     }
@@ -128,13 +128,13 @@
         self.partitions.iter().flat_map(|charge| charge.probes.iter().copied())
     }
 
-    /// Moves in force: cessions and grants.
+    /// Moves in force: shares given back and grants.
     pub fn in_force(&self, now: Duration) -> (usize, usize) {
         let counts = self.held.values().flat_map(|held| &held.moves);
-        counts.fold((0, 0), |(ceded, granted), (_, counts)| match counts {
-            Counts::Ceded(part, until) if now < *until && *part > Part::NONE => (ceded + 1, granted),
-            Counts::Granted(part, until) if now < *until && *part > Part::NONE => (ceded, granted + 1),
-            _ => (ceded, granted),
+        counts.fold((0, 0), |(reclaimed, granted), (_, counts)| match counts {
+            Counts::Reclaimed(part, until) if now < *until && *part > Part::NONE => (reclaimed + 1, granted),
+            Counts::Granted(part, until) if now < *until && *part > Part::NONE => (reclaimed, granted + 1),
+            _ => (reclaimed, granted),
         })
     }
 
@@ -146,7 +146,7 @@
         demands: Vec<Demand>,
         probed: Vec<Probed>,
     ) -> Report {
-        let cedes = !self.is_young(now);
+        let gives_back = !self.is_young(now);
         let charge = &mut self.partitions[partition];
         charge.number += 1;
         charge.asked.push_back((charge.number, now));
@@ -157,7 +157,7 @@
             forwarder: self.forwarder,
             incarnation: self.incarnation,
             number: charge.number,
-            cedes,
+            gives_back,
             term: charge.term,
             holds: charge.version,
             refused: charge.refused.iter().copied().collect(),
@@ -200,23 +200,23 @@
         for (resource, moved) in &plan.moves {
             charge.refused.remove(resource);
             let held = self.held.entry(*resource).or_default();
-            let ceded = |(term, counts): &&(Term, Counts)| {
-                *term == plan.term && matches!(counts, Counts::Ceded(_, until) if now < *until)
+            let reclaimed = |(term, counts): &&(Term, Counts)| {
+                *term == plan.term && matches!(counts, Counts::Reclaimed(_, until) if now < *until)
             };
-            let ceded = held.moves.iter().find(ceded).copied();
+            let reclaimed = held.moves.iter().find(reclaimed).copied();
             held.moves.retain(|(term, counts)| *term != plan.term && counts.until() > now);
             match *moved {
-                Move::Cede(part, lasts) => {
+                Move::Reclaim(part, lasts) => {
                     let room = even(*resource)
                         .map_or(Part::NONE, |even| even.less(even.floor()).less(held.sums(now).0));
-                    // Guards its floor from two planners that both ask, and what it may have ceded before it started.
+                    // Guards its floor from two planners that both ask, and what it may have given back before it started.
                     if part > room || young {
-                        // What it ceded before goes on: the planner counts on the lesser of the two until it hears.
+                        // What it gave back before goes on: the planner counts on the lesser of the two until it hears.
                         // A grant does not: the planner counts on it to end.
-                        held.moves.extend(ceded);
+                        held.moves.extend(reclaimed);
                         charge.refused.insert(*resource);
                     } else {
-                        held.moves.push((plan.term, Counts::Ceded(part, now + lasts.min(LONGEST))));
+                        held.moves.push((plan.term, Counts::Reclaimed(part, now + lasts.min(LONGEST))));
                     }
                 }
                 Move::Grant(part, lasts) => {
@@ -245,12 +245,12 @@
 }
 
 impl Held {
-    /// What is ceded and what is granted now.
+    /// What is given back and what is granted now.
     fn sums(&self, now: Duration) -> (Part, Part) {
-        self.moves.iter().fold((Part::NONE, Part::NONE), |(ceded, granted), (_, counts)| match *counts {
-            Counts::Ceded(part, until) if now < until => (ceded.and(part), granted),
-            Counts::Granted(part, until) if now < until => (ceded, granted.and(part)),
-            _ => (ceded, granted),
+        self.moves.iter().fold((Part::NONE, Part::NONE), |(reclaimed, granted), (_, counts)| match *counts {
+            Counts::Reclaimed(part, until) if now < until => (reclaimed.and(part), granted),
+            Counts::Granted(part, until) if now < until => (reclaimed, granted.and(part)),
+            _ => (reclaimed, granted),
         })
     }
 }
@@ -258,7 +258,7 @@
 impl Counts {
     fn until(&self) -> Duration {
         match self {
-            Counts::Ceded(_, until) | Counts::Granted(_, until) => *until,
+            Counts::Reclaimed(_, until) | Counts::Granted(_, until) => *until,
         }
     }
 }
--- a/src/shares/store/tests.rs
+++ b/src/shares/store/tests.rs
@@ -21,7 +21,7 @@
 }
 
 #[test]
-fn a_grant_counts_from_the_report_and_a_cession_from_its_coming() {
+fn a_grant_counts_from_the_report_and_a_reclaim_from_its_coming() {
     let mut store = store();
     store.report(OLD, 0, vec![], vec![]);
     let came = OLD + MS(300);
@@ -29,7 +29,7 @@
     assert_eq!(store.share(came, V, EVEN), Part(350_000));
     assert_eq!(store.next_end(came), Some(OLD + MS(400)));
     assert_eq!(store.share(OLD + MS(400), V, EVEN), EVEN);
-    take(&mut store, came, &plan(1, 2, 1, Move::Cede(Part(100_000), MS(400)))).unwrap();
+    take(&mut store, came, &plan(1, 2, 1, Move::Reclaim(Part(100_000), MS(400)))).unwrap();
     assert_eq!(store.in_force(came), (1, 0), "it replaced the grant");
     assert_eq!(store.share(OLD + MS(699), V, EVEN), Part(150_000));
     assert_eq!(store.share(OLD + MS(700), V, EVEN), EVEN);
@@ -69,41 +69,41 @@
 #[test]
 fn two_planners_cannot_take_more_than_all_but_the_floor() {
     let mut store = store();
-    take(&mut store, OLD, &plan(1, 1, 0, Move::Cede(Part(150_000), MS(800)))).unwrap();
-    take(&mut store, OLD, &plan(2, 1, 0, Move::Cede(Part(150_000), MS(800)))).unwrap();
+    take(&mut store, OLD, &plan(1, 1, 0, Move::Reclaim(Part(150_000), MS(800)))).unwrap();
+    take(&mut store, OLD, &plan(2, 1, 0, Move::Reclaim(Part(150_000), MS(800)))).unwrap();
     assert_eq!(store.report(OLD, 0, vec![], vec![]).refused, [V]);
     assert_eq!(store.share(OLD, V, EVEN), Part(100_000));
-    take(&mut store, OLD, &plan(2, 2, 0, Move::Cede(Part(37_500), MS(800)))).unwrap();
+    take(&mut store, OLD, &plan(2, 2, 0, Move::Reclaim(Part(37_500), MS(800)))).unwrap();
     assert_eq!(store.share(OLD, V, EVEN), EVEN.floor());
     assert!(store.report(OLD, 0, vec![], vec![]).refused.is_empty());
 }
 
 #[test]
-fn a_cession_that_is_refused_leaves_the_one_before_in_force() {
+fn a_reclaim_that_is_refused_leaves_the_one_before_in_force() {
     let mut store = store();
-    take(&mut store, OLD, &plan(2, 1, 0, Move::Cede(Part(100_000), MS(800)))).unwrap();
-    take(&mut store, OLD, &plan(2, 2, 0, Move::Cede(Part(200_000), MS(800)))).unwrap();
+    take(&mut store, OLD, &plan(2, 1, 0, Move::Reclaim(Part(100_000), MS(800)))).unwrap();
+    take(&mut store, OLD, &plan(2, 2, 0, Move::Reclaim(Part(200_000), MS(800)))).unwrap();
     assert_eq!(store.report(OLD, 0, vec![], vec![]).refused, [V]);
     assert_eq!(store.share(OLD, V, EVEN), Part(150_000));
 }
 
 #[test]
-fn a_cession_that_is_refused_ends_a_grant_all_the_same() {
+fn a_reclaim_that_is_refused_ends_a_grant_all_the_same() {
     let mut store = store();
     store.report(OLD, 0, vec![], vec![]);
     take(&mut store, OLD, &plan(2, 1, 1, Move::Grant(Part(100_000), MS(400)))).unwrap();
-    take(&mut store, OLD, &plan(2, 2, 1, Move::Cede(Part(200_000), MS(800)))).unwrap();
+    take(&mut store, OLD, &plan(2, 2, 1, Move::Reclaim(Part(200_000), MS(800)))).unwrap();
     assert_eq!(store.report(OLD, 0, vec![], vec![]).refused, [V]);
     assert_eq!(store.share(OLD, V, EVEN), EVEN);
 }
 
 #[test]
-fn a_process_that_has_just_started_holds_to_its_floor_and_cedes_nothing() {
+fn a_process_that_has_just_started_holds_to_its_floor_and_gives_back_nothing() {
     let mut store = store();
     assert_eq!(store.share(MS(10), V, EVEN), EVEN.floor());
-    take(&mut store, MS(10), &plan(1, 1, 0, Move::Cede(Part(1), MS(800)))).unwrap();
+    take(&mut store, MS(10), &plan(1, 1, 0, Move::Reclaim(Part(1), MS(800)))).unwrap();
     let report = store.report(MS(10), 0, vec![], vec![]);
-    assert_eq!((report.refused, report.cedes), (vec![V], false));
+    assert_eq!((report.refused, report.gives_back), (vec![V], false));
     assert_eq!(store.share(LONGEST, V, EVEN), EVEN);
 }
 
@@ -111,17 +111,17 @@
 fn without_plans_it_decays_to_the_even_part() {
     let mut store = store();
     assert_eq!(store.mode(OLD, 0), Mode::Safe);
-    take(&mut store, OLD, &plan(1, 1, 0, Move::Cede(Part(100_000), MS(60_000)))).unwrap();
+    take(&mut store, OLD, &plan(1, 1, 0, Move::Reclaim(Part(100_000), MS(60_000)))).unwrap();
     assert_eq!(store.mode(OLD + MS(999), 0), Mode::Planned);
     assert_eq!(store.mode(OLD + MS(1000), 0), Mode::Stale);
     assert_eq!(store.mode(OLD + LONGEST, 0), Mode::Safe);
     assert_eq!(store.share(OLD + LONGEST, V, EVEN), EVEN, "no move lasts longer");
     assert_eq!(store.plan(OLD + MS(30), 0).map(|(_, version, age)| (version, age)), Some((1, MS(30))));
     let long = Plan {
-        moves: vec![(V, Move::Cede(Part(0), MS(1))); MOST_MOVES + 1],
-        ..plan(9, 9, 0, Move::Cede(Part(0), MS(1)))
+        moves: vec![(V, Move::Reclaim(Part(0), MS(1))); MOST_MOVES + 1],
+        ..plan(9, 9, 0, Move::Reclaim(Part(0), MS(1)))
     };
     assert_eq!(take(&mut store, OLD, &long), Err(Untaken::TooLong));
-    let other = Plan { incarnation: 6, ..plan(9, 9, 0, Move::Cede(Part(0), MS(1))) };
+    let other = Plan { incarnation: 6, ..plan(9, 9, 0, Move::Reclaim(Part(0), MS(1))) };
     assert_eq!(take(&mut store, OLD, &other), Err(Untaken::OtherProcess));
 }
