--- a/lab/src/capacity/parts/planners.rs
+++ b/lab/src/capacity/parts/planners.rs
@@ -18,7 +18,7 @@
 const INTERVAL_MS: f64 = 100.0;
 /// Stand-in nodes behind the real initiator.
 const NODES: usize = 8;
-/// A new forwarder cedes nothing for five seconds: it is watched for some of them, and again once they are over.
+/// A new forwarder gives back nothing for five seconds: it is watched for some of them, and again once they are over.
 const YOUNG: Duration = Duration::from_secs(3);
 const SETTLED: Duration = Duration::from_secs(6);
 
--- a/lab/src/capacity/scale.rs
+++ b/lab/src/capacity/scale.rs
@@ -9,16 +9,14 @@
     pub short: bool,
     /// Seeds everything that is drawn.
     pub seed: u64,
+    /// How often each figure is measured, where that is said.
+    pub repeats: Option<usize>,
 }
 
 impl Scale {
     /// How often each figure is measured.
     pub fn repeats(&self) -> usize {
-        if self.short {
-            1
-        } else {
-            3
-        }
+        self.repeats.unwrap_or(self.pick(1, 3))
     }
 
     /// One of two, by the length of the run.
