--- a/lab/src/capacity/fit.rs
+++ b/lab/src/capacity/fit.rs
@@ -76,11 +76,11 @@
 
 /// A point lies at a size that differs from its own by no more than this part.
 const SAME_SIZE: f64 = 0.02;
-/// What lies beyond the points is worked out from so many of the largest: small sizes show costs that do not grow.
-const LARGEST: usize = 3;
+/// What lies beyond the points is worked out from so many of those nearest to it: small sizes show costs that do not grow.
+const NEAREST: usize = 3;
 
 /// The cost at a size: the point there, else on the line between the two points beside it, else by the law through the
-/// largest sizes. None without points, which are in the order of their sizes.
+/// sizes nearest to it. None without points, which are in the order of their sizes.
 pub fn cost_at(points: &[Point], size: f64) -> Option<(f64, Origin)> {
     let there = points.iter().find(|point| (point.size - size).abs() <= SAME_SIZE * size);
     if let Some(there) = there {
@@ -93,8 +93,13 @@
         let part = if width > 0.0 { (size - below.size) / width } else { 0.0 };
         return Some((below.median + part * (above.median - below.median), Origin::Measured));
     }
-    let largest = &points[points.len().saturating_sub(LARGEST)..];
-    let plain: Vec<(f64, f64)> = largest.iter().map(|point| (point.size, point.median)).collect();
+    let below_all = points.first().is_some_and(|first| size < first.size);
+    let nearest = if below_all {
+        &points[..points.len().min(NEAREST)]
+    } else {
+        &points[points.len().saturating_sub(NEAREST)..]
+    };
+    let plain: Vec<(f64, f64)> = nearest.iter().map(|point| (point.size, point.median)).collect();
     match PowerLaw::through(&plain) {
         Some(law) => Some((law.at(size), Origin::WorkedOut)),
         None => points.last().map(|point| (point.median, Origin::WorkedOut)),
--- a/lab/src/capacity/tests.rs
+++ b/lab/src/capacity/tests.rs
@@ -87,6 +87,10 @@
     // What does not grow shows at small sizes only: the largest three decide.
     let fixed = points(|size| if size < 60.0 { 120.0 } else { 2.0 * size });
     assert!((cost_at(&fixed, 730.0).unwrap().0 - 1460.0).abs() < 1e-6);
+    // And what lies below them goes by the smallest three: here a cost that grows only beyond 200.
+    let flat = points(|size| if size > 200.0 { 10.0 * size } else { 120.0 });
+    let (below, origin) = cost_at(&flat, 2.0).unwrap();
+    assert!((below - 120.0).abs() < 1e-6 && origin == Origin::WorkedOut, "{below}");
 }
 
 #[test]
