Hollow fleet: the relay passes and holds up bytes in one function

Change: one function that is told whether the way is held up. Measured here: nothing else; the hollow tests run with the whole suite before landing.

--- a/lab/src/hollow/relay.rs
+++ b/lab/src/hollow/relay.rs
@@ -173,14 +173,13 @@
     fn carry(&mut self, first: usize) {
         let Some(pair) = self.pairs.get_mut(&first) else { return };
         let way = self.ways[pair.way];
-        let held = self.cut.is_between(way.region, way.planner_region);
+        let is_held = self.cut.is_between(way.region, way.planner_region);
         let counted = &self.counted[way.group];
         let mut open = true;
         for (from, passed) in [(0, &counted.sent), (1, &counted.received)] {
             let [initiator, planner] = &mut pair.ends;
             let (source, target) = if from == 0 { (initiator, planner) } else { (planner, initiator) };
-            open &=
-                if held { hold(&mut source.0, target, passed) } else { pass(&mut source.0, target, passed) };
+            open &= pass(&mut source.0, target, passed, is_held);
         }
         if !open {
             self.pairs.remove(&first);
@@ -199,28 +198,17 @@
     }
 }
 
-/// Takes what comes while nothing may pass, for later; false once the source is over. Guards the descriptors: who is cut
-/// off gives up and comes again for as long as that lasts.
-fn hold(source: &mut TcpStream, target: &mut (TcpStream, Vec<u8>), passed: &AtomicU64) -> bool {
-    let mut bytes = [0; READ];
-    while target.1.len() < MOST_WAITING {
-        match source.read(&mut bytes) {
-            Ok(0) => return false,
-            Ok(count) => {
-                passed.fetch_add(count as u64, Ordering::Relaxed);
-                target.1.extend_from_slice(&bytes[..count]);
-            }
-            Err(error) => return is_pending(&error),
-        }
-    }
-    true
-}
-
-/// Carries one way; false once it is over.
-fn pass(source: &mut TcpStream, target: &mut (TcpStream, Vec<u8>), passed: &AtomicU64) -> bool {
+/// Carries one way; false once it is over. While it is held up what comes is taken and kept for later, and an end is seen
+/// all the same. Guards the descriptors: who is cut off gives up and comes again for as long as that lasts.
+fn pass(
+    source: &mut TcpStream,
+    target: &mut (TcpStream, Vec<u8>),
+    passed: &AtomicU64,
+    is_held: bool,
+) -> bool {
     let mut bytes = [0; READ];
     loop {
-        if !write(target) {
+        if !is_held && !write(target) {
             return false;
         }
         if target.1.len() >= MOST_WAITING {
