--- a/src/rules.rs
+++ b/src/rules.rs
@@ -190,6 +190,9 @@
     look: Duration,
     interval_start: Option<Duration>,
     wake_at: Option<Duration>,
+    /// Nodes looked at so far.
+    #[serde(skip)]
+    visits: Cell<u64>,
 }
 
 impl Scheduler {
@@ -209,6 +212,15 @@
         }
     }
 
+    /// Nodes that were looked at since the start: what decisions cost, whatever machine they run on.
+    pub fn nodes_visited(&self) -> u64 {
+        self.visits.get()
+    }
+
+    fn visit<T>(&self, _: &T) {
+        self.visits.set(self.visits.get() + 1);
+    }
+
     /// Takes what has happened up to `now` and adds what is to be done.
     pub fn handle(&mut self, now: Duration, events: &[Event], actions: &mut Vec<Action>) {
         self.integrate_demand(now);
@@ -517,17 +529,19 @@
     }
 
     fn ready(&self) -> impl Iterator<Item = &Node> {
-        self.nodes.values().filter(|node| node.is_ready() || self.is_last(node))
+        let nodes = self.nodes.values().inspect(|node| self.visit(node));
+        nodes.filter(|node| node.is_ready() || self.is_last(node))
     }
 
     /// Whether a draining node is the last of its shard, told to drain just now: it still gets what it holds.
     fn is_last(&self, node: &Node) -> bool {
         let holds = |other: &Node| other.is_ready() && other.entry.shard == node.entry.shard;
-        self.now < node.drain_end && !self.nodes.values().any(holds)
+        self.now < node.drain_end && !self.nodes.values().inspect(|node| self.visit(node)).any(holds)
     }
 
     fn integrate_demand(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.now).min(INTERVAL).as_secs_f64();
+        self.visits.set(self.visits.get() + self.nodes.len() as u64);
         for node in self.nodes.values_mut().filter(|_| elapsed > 0.0) {
             node.out.values().for_each(|out| node.demand[out.class] += elapsed);
             let held = self.held.get(&Some(node.entry.shard)).into_iter().flatten();
@@ -825,7 +839,7 @@
         let rules = &self.settings.rules;
         let even = 1.0 / f64::from(self.settings.hosts.max(1));
         let always = self.settings.units.cold_units * node.cold_share.unwrap_or(even);
-        let all: f64 = self.powers.values().map(|power| power.rate).sum();
+        let all: f64 = self.powers.values().inspect(|power| self.visit(power)).map(|power| power.rate).sum();
         let mean = all / self.powers.len().max(1) as f64;
         let own = self.powers.get(&node.entry.shard).map_or(0.0, |power| power.rate);
         let capacity = own.max(mean) * node.warmth(self.now, rules);
@@ -915,7 +929,8 @@
             let first = it.attempts == 1 && !it.withdrawn && !it.finished && !it.streaming;
             (first && self.repeatable(it, Some(out.sent)) && self.budget_permits(it)).then_some(*id)
         };
-        let out = self.nodes.values().flat_map(|node| node.out.iter().map(move |out| (node, out)));
+        let nodes = self.nodes.values().inspect(|node| self.visit(node));
+        let out = nodes.flat_map(|node| node.out.iter().map(move |out| (node, out)));
         for id in out.filter_map(over).collect::<Vec<_>>() {
             actions.push(Action::Cancel { id, attempt: 0 });
             self.requests.entry(id).and_modify(|it| it.withdrawn = true);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -93,6 +93,11 @@
         host
     }
 
+    /// Nodes that its scheduler has looked at so far.
+    pub fn nodes_visited(&self) -> u64 {
+        self.scheduler.nodes_visited()
+    }
+
     pub fn handle(&mut self, events: &[Event]) -> Vec<Action> {
         let mut actions = Vec::new();
         self.scheduler.handle(self.now, events, &mut actions);
--- /dev/null
+++ b/tests/net/lateness.rs
@@ -0,0 +1,59 @@
+//! A process that is kept from its work: a client's time counts from when its request came, not from when it was read.
+
+use crate::helper::*;
+use socket2::{Domain, Socket, Type};
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long the process stands still as the request comes.
+const HELD_UP: Duration = Duration::from_millis(400);
+/// What the client waits for, of which this machine may use up some.
+const WAITS: Duration = Duration::from_millis(1_000);
+const SLACK: Duration = Duration::from_millis(200);
+
+/// A listener that accepts nothing, with its queue full: connections to it never come up.
+struct Unreachable {
+    listener: Socket,
+    _waiting: Vec<Socket>,
+}
+
+impl Unreachable {
+    fn start() -> Self {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        listener.listen(0).unwrap();
+        let address = listener.local_addr().unwrap();
+        let connect = |_| {
+            let waiting = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+            waiting.set_nonblocking(true).unwrap();
+            // It is still being made.
+            let _ = waiting.connect(&address);
+            waiting
+        };
+        let waiting = (0..4).map(connect).collect();
+        Unreachable { listener, _waiting: waiting }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap().as_socket().unwrap()
+    }
+}
+
+#[test]
+fn a_request_that_is_read_late_is_answered_in_its_time() {
+    let node = Unreachable::start();
+    let discovery = Discovery::start(&[("s1", node.address(), 3)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    // The connection is known to the program before it is held up.
+    client.info();
+    program.signal("STOP");
+    let asked = Instant::now();
+    client.ask(1, 3, ",d=1000", None);
+    thread::sleep(HELD_UP);
+    program.signal("CONT");
+    client.receive();
+    let took = asked.elapsed();
+    assert!(took < WAITS + SLACK, "answered after {took:?}");
+}
--- a/tests/net/main.rs
+++ b/tests/net/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod helper;
 mod iscsi;
+mod lateness;
 mod operators;
 mod planner;
 mod resp;
