Scheduler: nodes by shard, by state and by wait; decisions in modules of one job each

Cause: each call of the scheduler walked all nodes, and some walks stood inside others (integrate_demand, ready, is_last, give_up, withdraw_overtaken, learn_powers, cold_rate, release); at 3,200 nodes 129,898 nodes were looked at for one request. Change: src/rules.rs is split (classes, dispatch, guards, need, node, node_table, overdue, queue, shard_rates, volume, final_answers). NodeTable owns the nodes and keeps indexes by shard, of usable and busy nodes, by wait, quickest answer and errors, and the ends of drains; debug builds check small tables against a plain walk. Differs from before: new objects are offered to 256 nodes a call at most, where all were.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,4 +78,4 @@
 mod upgrade;
 pub mod vrrp;
 
-pub use rules::Scheduler;
+pub use rules::{Denials, Scheduler};
--- a/src/rules/carry.rs
+++ b/src/rules/carry.rs
@@ -1,4 +1,5 @@
-//! What a scheduler gives to the one of a process that takes its place, so that both together keep the rules as one.
+//! What a scheduler gives to the one of a process that takes its place, so that both together keep the rules
+//! as one.
 
 use super::*;
 use serde::{Deserialize, Serialize};
@@ -11,14 +12,16 @@
 pub struct Carried(Scheduler);
 
 impl Scheduler {
-    /// Gives all but what its own requests need: of each limit that of the requests that wait here, and nothing at
-    /// cold nodes.
+    /// Gives all but what its own requests need: of each limit that of the requests that wait here, and
+    /// nothing at cold nodes.
     pub(crate) fn hand_over(&mut self, now: Duration) -> Carried {
         let mut heir = self.clone();
         (heir.requests, heir.held, heir.wake_at) = Default::default();
-        heir.nodes.values_mut().for_each(|node| node.out.clear());
+        for id in heir.nodes.busy_ids() {
+            heir.nodes.change(id, |node| node.out.clear());
+        }
         let mut needs: BTreeMap<VolumeId, f64> = BTreeMap::new();
-        let waiting = self.held.values().flatten().map(|id| &self.requests[id]);
+        let waiting = self.held.iter().map(|id| &self.requests[&id]);
         for request in waiting.filter(|request| request.attempts == 0) {
             *needs.entry(request.new.volume).or_default() += request.new.units;
         }
@@ -38,10 +41,8 @@
                 volume.limit = Store { level: level - kept, at: now };
             }
         }
-        self.powers.values_mut().for_each(|power| power.rate = 0.0);
-        for node in self.nodes.values_mut() {
-            (node.cold.level, node.cold_share) = (NOTHING, Some(0.0));
-        }
+        self.powers.clear_rates();
+        self.nodes.change_all_figures(|node| (node.cold.level, node.cold_share) = (NOTHING, Some(0.0)));
         // A key with a request here rests there until that is over.
         let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
         for line in heir.keys.values_mut().filter(|line| !line.waiting.is_empty()) {
@@ -50,13 +51,15 @@
         Carried(heir)
     }
 
-    /// Goes on from what another one gave; false where that had other settings, whose figures mean something else.
+    /// Goes on from what another one gave; false where that had other settings, whose figures mean something
+    /// else.
     pub(crate) fn take_over(&mut self, carried: Carried) -> bool {
         if carried.0.settings != self.settings {
             return false;
         }
         let random = std::mem::take(&mut self.random);
         *self = Scheduler { random, ..carried.0 };
+        self.nodes.rebuild(tightest_aim(&self.settings), self.now);
         true
     }
 
--- /dev/null
+++ b/src/rules/final_answers.rs
@@ -0,0 +1,128 @@
+//! Final answers that no node gives: requests that no value would reach in time, that are too many, or that
+//! may not be tried again.
+
+use super::node::Node;
+use super::{Request, Scheduler};
+use crate::interface::*;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Why a request is answered with no.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reason {
+    /// No value would reach its client in time any more.
+    NoTimeLeft,
+    /// Half of its time has passed without an attempt.
+    HalfOfItsTime,
+    /// More requests are queued than may be, and others are needed more.
+    TooManyQueued,
+    /// It may have no further attempt.
+    NotRepeatable,
+}
+
+/// Answers with no so far, by reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Denials {
+    /// No value would have reached the client in time.
+    pub no_time_left: u64,
+    /// Half of the client's time had passed without an attempt.
+    pub half_of_time: u64,
+    /// More requests were queued than may be.
+    pub too_many_queued: u64,
+    /// The request might have no further attempt.
+    pub not_repeatable: u64,
+}
+
+impl Denials {
+    fn count(&mut self, reason: Reason) {
+        *match reason {
+            Reason::NoTimeLeft => &mut self.no_time_left,
+            Reason::HalfOfItsTime => &mut self.half_of_time,
+            Reason::TooManyQueued => &mut self.too_many_queued,
+            Reason::NotRepeatable => &mut self.not_repeatable,
+        } += 1;
+    }
+}
+
+impl Scheduler {
+    /// Final answers for queued requests that no value would reach in time, past half of theirs (ieb05fd), or
+    /// too many.
+    pub(super) fn give_up(&mut self, actions: &mut Vec<Action>) {
+        if self.held.is_empty() {
+            return;
+        }
+        let mut over = self.out_of_time();
+        let known: BTreeSet<RequestId> = over.iter().map(|(id, _)| *id).collect();
+        let too_many = self.too_many().into_iter().filter(|id| !known.contains(id));
+        over.extend(too_many.map(|id| (id, Reason::TooManyQueued)));
+        for (id, reason) in over {
+            let Some(request) = self.requests.remove(&id) else { continue };
+            self.held.remove(request.lane(), id);
+            self.answer_no(&request, reason, actions);
+            self.leave_line(&request.new);
+        }
+    }
+
+    fn out_of_time(&self) -> Vec<(RequestId, Reason)> {
+        let margin = self.look + self.settings.tick;
+        let mut over = Vec::new();
+        for (lane, requests) in self.held.lanes() {
+            let quick = match lane {
+                Some(shard) => self.nodes.usable_of(shard).map(Node::quick_answer).min(),
+                None => self.nodes.quickest_answer(),
+            };
+            let quick = quick.unwrap_or_default().max(margin);
+            let due =
+                requests.iter().filter_map(|id| Some((*id, self.due(&self.requests[id], quick, margin)?)));
+            over.extend(due);
+        }
+        over
+    }
+
+    /// Why a request is to be answered now, if it is.
+    fn due(&self, request: &Request, quick: Duration, margin: Duration) -> Option<Reason> {
+        let Request { new, taken, attempts, .. } = request;
+        if new.deadline <= self.now + quick {
+            return Some(Reason::NoTimeLeft);
+        }
+        let half = (*taken + new.deadline) / 2;
+        (*attempts == 0 && half <= self.now + margin).then_some(Reason::HalfOfItsTime)
+    }
+
+    /// The deepest in need of what is queued beyond the most (r7b0367: clients with no connection left).
+    fn too_many(&self) -> Vec<RequestId> {
+        let most = self.settings.limits.most_held.unwrap_or(usize::MAX);
+        if self.held.len() <= most {
+            return Vec::new();
+        }
+        let node = |shard: Option<u32>| match shard {
+            Some(shard) => self.nodes.usable_of(shard).next(),
+            None => self.nodes.first_usable(),
+        };
+        let need = |it: &Request| node(it.new.shard).map_or(f64::MAX, |node| self.need(it, node));
+        let mut held: Vec<RequestId> = self.held.iter().collect();
+        held.sort_by_cached_key(|id| need(&self.requests[id]).to_bits());
+        held.split_off(most)
+    }
+
+    /// Refuses a request where that is true to its effect, else fails it.
+    pub(super) fn answer_no(&mut self, request: &Request, reason: Reason, actions: &mut Vec<Action>) {
+        let id = request.new.id;
+        let harmless = match self.settings.classes[request.new.class].effect {
+            Effect::Safe | Effect::Keyed(Group::All) => true,
+            Effect::Keyed(_) | Effect::Unsafe => request.may_have_run.is_none(),
+        };
+        self.denials.count(reason);
+        tracing::debug!(
+            id = id.0,
+            ?reason,
+            attempts = request.attempts,
+            refused = harmless,
+            "answered with no"
+        );
+        actions.push(match harmless {
+            true => Action::Refuse { id, retry_after: self.settings.limits.max_retry_after },
+            false => Action::Fail { id },
+        });
+    }
+}
--- a/src/rules/reconfigure.rs
+++ b/src/rules/reconfigure.rs
@@ -1,4 +1,5 @@
-//! Takes over changed figures between two calls of [`Scheduler::handle`], whole. What was learned and what is open goes on.
+//! Takes over changed figures between two calls of [`Scheduler::handle`], whole. What was learned and what is
+//! open goes on.
 
 use super::*;
 use std::fmt;
@@ -20,9 +21,9 @@
     ///
     /// # Errors
     ///
-    /// They differ in more than a class's aim, worth and late worth, plans' figures, how units count (but for the
-    /// period of reported use), attempts, the wait that clients are asked for, and whether attempts are withdrawn.
-    /// Nothing has changed then.
+    /// They differ in more than a class's aim, worth and late worth, plans' figures, how units count (but for
+    /// the period of reported use), attempts, the wait that clients are asked for, and whether attempts are
+    /// withdrawn. Nothing has changed then.
     pub fn reconfigure(&mut self, now: Duration, settings: Settings) -> Result<(), FixedSettings> {
         if !keeps_what_is_fixed(&self.settings, &settings) {
             return Err(FixedSettings);
@@ -34,6 +35,7 @@
         self.change_level(&settings);
         self.settings = settings;
         self.look = look(&self.settings);
+        self.nodes.rebuild(tightest_aim(&self.settings), self.now);
         self.volumes.values().for_each(|volume| volume.reckoned.set(None));
         self.end_beyond_attempts(now);
         Ok(())
@@ -58,17 +60,17 @@
         }
     }
 
-    /// What a cold node was paid so far keeps its place in time: hosts take over a change together, and none may send
-    /// because of it.
+    /// What a cold node was paid so far keeps its place in time: hosts take over a change together, and none
+    /// may send because of it.
     fn change_cold(&mut self, now: Duration, settings: &Settings) {
         if self.settings.units.cold_units == settings.units.cold_units {
             return;
         }
-        let rates: Vec<_> = self.nodes.iter().map(|(id, node)| (*id, self.cold_rate(node))).collect();
+        let rates: Vec<_> = self.nodes.iter().map(|node| (node.entry.node, self.cold_rate(node))).collect();
         for (id, rate) in rates {
-            if let Some(node) = self.nodes.get_mut(&id) {
+            self.nodes.change_figures(id, |node| {
                 node.cold.fill(now, rate, f64::INFINITY);
-            }
+            });
         }
     }
 
@@ -90,11 +92,12 @@
         }
     }
 
-    /// Held requests that may have no further attempt now are answered at the next call, not at their deadline.
+    /// Held requests that may have no further attempt now are answered at the next call, not at their
+    /// deadline.
     fn end_beyond_attempts(&mut self, now: Duration) {
         let most = self.settings.limits.max_attempts;
-        for id in self.held.values().flatten() {
-            let request = self.requests.get_mut(id).filter(|request| request.attempts >= most);
+        for id in self.held.iter() {
+            let request = self.requests.get_mut(&id).filter(|request| request.attempts >= most);
             request.into_iter().for_each(|request| request.new.deadline = request.new.deadline.min(now));
         }
     }
