--- a/src/core.rs
+++ b/src/core.rs
@@ -147,6 +147,7 @@
     pub attempts_other: u64,
     pub answered_overdue: u64,
     pub ids_in_use: u64,
+    pub read_late: u64,
     pub commands_unusable: u64,
     pub clients_silent: u64,
     pub answers_spoilt: u64,
@@ -179,6 +180,7 @@
             ("attempts_other", self.attempts_other),
             ("answered_overdue", self.answered_overdue),
             ("ids_in_use", self.ids_in_use),
+            ("requests_read_late", self.read_late),
             ("commands_unusable", self.commands_unusable),
             ("clients_silent", self.clients_silent),
             ("answers_spoilt", self.answers_spoilt),
@@ -233,20 +235,16 @@
     streams: Option<u32>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
-    GiveUp(AttemptId),
-    Overdue(RequestId),
-}
-
 /// The open requests of one initiator.
 pub struct Core {
     clock: Clock,
     requests: FxHashMap<RequestId, Open>,
     /// Open requests by the ids that clients gave them.
     by_name: HashMap<String, RequestId>,
-    /// What is due when, of what is open alone: one that is over takes its timers along.
-    timers: BTreeSet<(Instant, Timer)>,
+    /// When attempts are given up, and requests answered in the planner's place: of what is open alone, one that is over
+    /// takes its timers along.
+    give_ups: BTreeSet<(Instant, AttemptId)>,
+    overdue: BTreeSet<(Instant, RequestId)>,
     /// When the planner is to be called next.
     wake_at: Option<Instant>,
     /// How late this process is, by its own clock: for so long at most, what came in has waited for it.
@@ -272,7 +270,8 @@
             clock,
             requests: FxHashMap::default(),
             by_name: HashMap::new(),
-            timers: BTreeSet::new(),
+            give_ups: BTreeSet::new(),
+            overdue: BTreeSet::new(),
             wake_at: None,
             late: Duration::ZERO,
             events: Vec::new(),
@@ -296,7 +295,7 @@
         let own = [
             ("requests_open", self.requests.len()),
             ("request_bytes", self.held_bytes),
-            ("timers", self.timers.len()),
+            ("timers", self.give_ups.len() + self.overdue.len()),
         ];
         let sizes = own.iter().chain(&self.sizes);
         let sizes: String = sizes.map(|(name, count)| format!("{name}:{count}\r\n")).collect();
@@ -327,7 +326,7 @@
         self.by_name.insert(content.id.clone(), id);
         new.id = id;
         let deadline = self.clock.instant(new.deadline);
-        self.timers.insert((deadline + OVERDUE, Timer::Overdue(id)));
+        self.overdue.insert((deadline + OVERDUE, id));
         self.held_bytes += content.body.len();
         let content = Rc::new(content);
         let key = new.key;
@@ -403,14 +402,14 @@
     /// The last byte of a long body has come: its client's time counts from now on, and ends then.
     pub fn body_came(&mut self, id: RequestId, deadline: Duration) {
         let Some(open) = self.requests.get_mut(&id).filter(|open| !open.answered) else { return };
-        self.timers.remove(&(open.deadline + OVERDUE, Timer::Overdue(id)));
+        self.overdue.remove(&(open.deadline + OVERDUE, id));
         open.deadline = open.deadline.min(self.clock.instant(deadline));
-        self.timers.insert((open.deadline + OVERDUE, Timer::Overdue(id)));
+        self.overdue.insert((open.deadline + OVERDUE, id));
         for (number, it) in open.attempts.iter_mut().enumerate().filter(|(_, it)| it.running) {
-            let timer = Timer::GiveUp(AttemptId { request: id, number: number as u32 });
-            self.timers.remove(&(it.give_up_at, timer));
+            let attempt = AttemptId { request: id, number: number as u32 };
+            self.give_ups.remove(&(it.give_up_at, attempt));
             it.give_up_at = it.give_up_at.min(open.deadline);
-            self.timers.insert((it.give_up_at, timer));
+            self.give_ups.insert((it.give_up_at, attempt));
         }
     }
 
@@ -458,7 +457,7 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(it) = open.attempts.get_mut(attempt.number as usize).filter(|it| it.running) else { return };
         it.running = false;
-        self.timers.remove(&(it.give_up_at, Timer::GiveUp(attempt)));
+        self.give_ups.remove(&(it.give_up_at, attempt));
         // A process that was kept from its work doubts itself first: what waited here says nothing of the node.
         let took = now - it.sent;
         let (node, latency) =
@@ -541,7 +540,7 @@
         open.attempts.push(Attempt { node, sent: now, give_up_at, running: true });
         self.counters.attempts += 1;
         tracing::trace!(id = id.0, node = node.0, number = attempt.number, "attempt begins");
-        self.timers.insert((give_up_at, Timer::GiveUp(attempt)));
+        self.give_ups.insert((give_up_at, attempt));
         let content = open.content.clone();
         self.effects.push(Effect::Start { attempt, node, content, give_up_at, begin_by });
     }
@@ -559,7 +558,7 @@
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(open) = self.requests.get_mut(&id).filter(|open| !open.answered) else { return };
         open.answered = true;
-        self.timers.remove(&(open.deadline + OVERDUE, Timer::Overdue(id)));
+        self.overdue.remove(&(open.deadline + OVERDUE, id));
         let outcome = match answer {
             Answer::Served(_) => "served",
             Answer::Refused { .. } => "refused",
@@ -579,7 +578,7 @@
         if self.requests.get(&id).is_some_and(over) {
             if let Some(open) = self.requests.remove(&id) {
                 // One that ends without an answer still has it.
-                self.timers.remove(&(open.deadline + OVERDUE, Timer::Overdue(id)));
+                self.overdue.remove(&(open.deadline + OVERDUE, id));
                 self.held_bytes -= open.content.body.len();
                 self.by_name.remove(&open.content.id);
             }
@@ -588,33 +587,55 @@
 
     /// When the next timer is due.
     pub fn next_timer(&self) -> Option<Instant> {
-        let timer = self.timers.first().map(|(at, _)| *at);
-        timer.into_iter().chain(self.wake_at).min()
+        let give_up = self.give_ups.first().map(|(at, _)| *at);
+        let overdue = self.overdue.first().map(|(at, _)| *at);
+        [give_up, overdue, self.wake_at].into_iter().flatten().min()
+    }
+
+    /// Whether there is something for fronts and targets to do.
+    pub fn has_effects(&self) -> bool {
+        !self.effects.is_empty()
+    }
+
+    /// Whether there is news that the planner was not told yet, or something for fronts and targets to do.
+    pub fn has_news(&self) -> bool {
+        !self.events.is_empty() || !self.effects.is_empty()
     }
 
     /// Fires the timers that are due.
     pub fn fire(&mut self, now: Instant) {
         let woken = self.wake_at.take_if(|at| *at <= now).is_some();
-        while self.timers.first().is_some_and(|(at, _)| *at <= now) {
-            let Some((_, timer)) = self.timers.pop_first() else { break };
-            match timer {
-                // What a node still sends of a long answer is not cut off.
-                Timer::GiveUp(attempt) if self.is_running(attempt) && self.stream(attempt).is_none() => {
-                    self.effects.push(Effect::Stop { attempt, outcome: Outcome::TimedOut });
-                }
-                Timer::Overdue(id) if self.is_overdue(id, now) => {
-                    tracing::warn!(request = id.0, "no decision by the deadline");
-                    self.counters.answered_overdue += 1;
-                    self.end(id);
-                }
-                Timer::GiveUp(_) | Timer::Overdue(_) => {}
+        while let Some((at, attempt)) = self.give_ups.pop_first() {
+            if at > now {
+                self.give_ups.insert((at, attempt));
+                break;
+            }
+            // What a node still sends of a long answer is not cut off.
+            if self.is_running(attempt) && self.stream(attempt).is_none() {
+                self.effects.push(Effect::Stop { attempt, outcome: Outcome::TimedOut });
             }
         }
+        self.answer_overdue(now);
         if woken {
             self.events.push(Event::Wake);
         }
     }
 
+    /// Answers the requests whose time was over some milliseconds before `now`, whatever else is to be done.
+    pub fn answer_overdue(&mut self, now: Instant) {
+        while let Some((at, id)) = self.overdue.pop_first() {
+            if at > now {
+                self.overdue.insert((at, id));
+                break;
+            }
+            if self.is_overdue(id, now) {
+                tracing::warn!(request = id.0, late = ?(now - at), "no decision by the deadline");
+                self.counters.answered_overdue += 1;
+                self.end(id);
+            }
+        }
+    }
+
     /// Ends a request that the planner does not decide: failed where it may have run, else refused.
     fn end_without_planner(&mut self, id: RequestId) {
         let Some(open) = self.requests.get(&id) else { return };
--- a/src/forwarder/configuration.rs
+++ b/src/forwarder/configuration.rs
@@ -54,10 +54,9 @@
     /// Nodes that are out get nothing new after the grace, as those that drain.
     fn take_nodes_out(&mut self, now: Instant, names: &BTreeSet<String>) {
         let event = self.nodes.configure_out(now, self.clock.unix(now), names);
-        event.into_iter().for_each(|event| self.core.tell(event));
-        let grace = self.config.settings.rules.drain_grace;
-        for (node, closes) in self.nodes.closing(grace) {
-            self.targets.close_at(node, closes);
+        if let Some(event) = event {
+            self.close_draining(&event);
+            self.core.tell(event);
         }
     }
 }
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod operators;
 mod succession;
+mod turns;
 
 use crate::clock::Clock;
 use crate::config::{Config, Files};
@@ -32,6 +33,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use turns::{Turns, Work};
 
 const LISTENER: Token = Token(0);
 const SIGNAL: Token = Token(1);
@@ -50,6 +52,12 @@
 /// all it has at once: beyond the whole the deepest in need is refused, whoever asked.
 const CONNECTION_PART: usize = 4;
 const MOST_PENDING: usize = 64;
+/// The part of `INFO` about turns, and how often it is renewed.
+const TURNS_REPORT: &str = "turns";
+const REPORT_EVERY: Duration = Duration::from_millis(250);
+/// This long after a request is due in the core its client has given up: no value that is still to be read is worth
+/// anything. Before that one may come in the same turn.
+const WORTHLESS_AFTER: Duration = Duration::from_millis(6);
 /// How soon a fleet is joined again whose address was not free.
 const JOIN_PAUSE: Duration = Duration::from_millis(10);
 /// How often a shutdown looks for clients that have become idle.
@@ -93,6 +101,8 @@
     signal: UnixStream,
     reload: UnixStream,
     tokens: Tokens,
+    turns: Turns,
+    next_report: Instant,
 }
 
 impl Forwarder {
@@ -232,6 +242,8 @@
             signal,
             reload,
             tokens,
+            turns: Turns::new(now),
+            next_report: now,
         };
         if !forwarder.nodes.own().is_empty() {
             let entries = forwarder.nodes.own().to_vec();
@@ -279,8 +291,14 @@
                 other => other?,
             }
             let now = Instant::now();
+            self.turns.begin(now);
             let late = pace.woken(now);
             self.core.is_late_by(late);
+            self.report_turns(now);
+            let came = now.checked_sub(pace.waited()).unwrap_or(now);
+            self.resp.begin_turn(came);
+            self.iscsi.iter_mut().for_each(|front| front.begin_turn(came));
+            self.answer_what_is_over(now);
             self.count();
             if let Some(addresses) = &mut self.addresses {
                 // A process that was stopped, or waits for the processor, wakes late.
@@ -288,9 +306,13 @@
                 self.serve(now, &events);
             }
             self.answer_operators(now, &events);
+            self.turns.spent_on(Work::Upkeep);
             self.gather_all(now, &events);
+            self.turns.spent_on(Work::Hearing);
             self.take_part(now, late.max(now.saturating_duration_since(due)));
+            self.turns.spent_on(Work::Upkeep);
             self.turn(now);
+            self.turns.spent_on(Work::Hearing);
             self.hand_over(now);
             self.core.fire(now);
             self.targets.tick(now);
@@ -302,7 +324,9 @@
                 }
             }
             self.follow_configuration(now);
+            self.turns.spent_on(Work::Upkeep);
             self.plan(now);
+            self.turns.spent_on(Work::Deciding);
             if self.state.ending().is_some_and(|since| self.shut_down(now, now - since)) {
                 self.upgrade.end();
                 tracing::info!("ended\n{}", self.core.info());
@@ -311,6 +335,36 @@
             if let Some(addresses) = &mut self.addresses {
                 addresses.turned(now.elapsed());
             }
+            self.turns.end();
+        }
+    }
+
+    /// What turns took and why requests were answered with no, for `INFO`.
+    fn report_turns(&mut self, now: Instant) {
+        if now < self.next_report {
+            return;
+        }
+        self.next_report = now + REPORT_EVERY;
+        let denials = self.planner.denials();
+        let reasons = [
+            ("denied_no_time_left", denials.no_time_left),
+            ("denied_half_of_time", denials.half_of_time),
+            ("denied_too_many_queued", denials.too_many_queued),
+            ("denied_not_repeatable", denials.not_repeatable),
+        ];
+        let figures: Vec<(&str, u64)> = self.turns.figures().into_iter().chain(reasons).collect();
+        let lines = figures.iter().map(|(name, value)| format!("{name}:{value}\r\n")).collect();
+        let json =
+            serde_json::Map::from_iter(figures.iter().map(|(name, value)| ((*name).into(), (*value).into())));
+        self.core.set_report(TURNS_REPORT, lines, serde_json::Value::Object(json).to_string());
+    }
+
+    /// Answers first whose clients' time is over, before anything is read: a loop that is behind is not to be late with
+    /// everything.
+    fn answer_what_is_over(&mut self, now: Instant) {
+        self.core.answer_overdue(now.checked_sub(WORTHLESS_AFTER).unwrap_or(now));
+        for effect in self.core.drain_effects() {
+            self.carry_out(now, effect);
         }
     }
 
@@ -387,6 +441,10 @@
         next = self.fleet.as_ref().and_then(|it| it.next_timer(now)).map_or(next, |at| next.min(at));
         next = self.fleet_again.map_or(next, |at| next.min(at));
         next = self.planners.as_ref().map_or(next, |planners| next.min(planners.next_timer()));
+        if self.core.has_news() || self.targets.has_news() {
+            // The last turn was long, and left it to this one.
+            return now;
+        }
         match self.state.ending() {
             Some(_) => next.min(now + SHUTDOWN_LOOK),
             None => next,
@@ -522,19 +580,30 @@
     }
 
     fn take_list(&mut self, now: Instant, news: News, kind: ListKind) {
+        self.turns.spent_on(Work::Hearing);
         let (event, gone) = self.nodes.take(now, news, kind);
         tracing::trace!(?event, "node list");
         gone.into_iter().for_each(|node| self.targets.leave(node));
-        let grace = self.config.settings.rules.drain_grace;
-        for (node, closes) in self.nodes.closing(grace) {
+        self.close_draining(&event);
+        self.core.tell(event);
+        self.turns.spent_on(Work::Lists);
+    }
+
+    /// Nothing begins at the draining nodes of a message once their grace is over.
+    fn close_draining(&mut self, message: &Event) {
+        for (node, closes) in self.nodes.closing(message, self.config.settings.rules.drain_grace) {
             self.targets.close_at(node, closes);
         }
-        self.core.tell(event);
     }
 
-    /// Planner rounds until nothing more happens at once.
+    /// Planner rounds until nothing more happens at once, or the turn is long: then those that are due are answered, and
+    /// others heard, before it goes on.
     fn plan(&mut self, now: Instant) {
-        loop {
+        let begun = Instant::now();
+        for round in 0.. {
+            if round > 0 && begun.elapsed() > turns::LONG && !self.core.has_effects() {
+                return;
+            }
             self.pass_on(now);
             for (attempt, ended) in std::mem::take(&mut self.targets.ended) {
                 self.learn_place(attempt, ended.outcome);
@@ -556,6 +625,7 @@
                 }
                 let actions = self.planner.decide(now, &events);
                 self.core.carry_out(now, actions);
+                self.core.answer_overdue(Instant::now());
             }
             for effect in effects {
                 self.carry_out(now, effect);
--- a/src/forwarder/operators.rs
+++ b/src/forwarder/operators.rs
@@ -57,7 +57,10 @@
     /// Takes a target out, or back.
     pub(super) fn ban(&mut self, now: Instant, unix: Duration, name: &str, out: bool) -> Result<(), String> {
         let event = if out { self.nodes.ban(now, unix, name) } else { self.nodes.call_back(unix, name) };
-        event?.into_iter().for_each(|event| self.core.tell(event));
+        if let Some(event) = event? {
+            self.close_draining(&event);
+            self.core.tell(event);
+        }
         Ok(())
     }
 }
--- a/src/front/client.rs
+++ b/src/front/client.rs
@@ -1,5 +1,6 @@
 //! One client of a front.
 
+use super::arrivals::Arrivals;
 use crate::conn::Conn;
 use crate::flow::Grant;
 use std::time::Instant;
@@ -25,6 +26,8 @@
     pub endpoint: usize,
     /// Since when it is told to come again because its endpoint is retired.
     pub sent_away: Option<Instant>,
+    /// When what it has said came.
+    pub arrivals: Arrivals,
     /// More input may wait in the kernel.
     pub paused: bool,
     /// It waits in the backlog.
@@ -49,6 +52,7 @@
             crowded,
             endpoint,
             sent_away: None,
+            arrivals: Arrivals::default(),
             paused: false,
             queued: false,
             closing: None,
--- a/src/front/endpoints.rs
+++ b/src/front/endpoints.rs
@@ -183,7 +183,9 @@
         // Without it answers still go out, only later.
         let _ = stream.set_nodelay(true);
         if let Ok(conn) = Conn::new(stream, token, registry) {
-            let client = Client::new(conn, self.protocol.session(), endpoint, crowded, now);
+            let mut client = Client::new(conn, self.protocol.session(), endpoint, crowded, now);
+            // What it has said may have come with it.
+            client.arrivals.told(self.came);
             self.clients.insert(token.0, client);
         }
     }
--- a/src/front/iscsi.rs
+++ b/src/front/iscsi.rs
@@ -381,7 +381,8 @@
         let (new, content) = self.request(&mut task);
         let patience = self.patience[new.class];
         // An id that is in use is one of the other front; the next try gets another.
-        match intake.take(place, new, patience, content) {
+        // Its time counts from its first byte: units are short, and no client states a time of its own.
+        match intake.take((place, 1), new, patience, content) {
             Ok(request) => {
                 task.request = Some(request);
                 session.tasks.insert(place, task);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -2,6 +2,7 @@
 //! connection is a [`Protocol`] of its own module.
 
 mod answers;
+mod arrivals;
 mod client;
 mod endpoints;
 pub mod iscsi;
@@ -59,6 +60,8 @@
     backlog: VecDeque<usize>,
     /// Clients heard in this turn.
     heard: usize,
+    /// When what is ready in this turn came, at the earliest.
+    came: Instant,
     next_sweep: Instant,
     /// Bytes kept for clients: commands that are not whole, answers that were not read.
     kept: usize,
@@ -101,6 +104,7 @@
             accept_at,
             backlog,
             heard: 0,
+            came: next_sweep,
             next_sweep,
             kept,
             leaving: Leaving::default(),
@@ -117,6 +121,11 @@
         self.kept
     }
 
+    /// A turn of the loop begins: what is ready in it has waited since `came` at the longest.
+    pub fn begin_turn(&mut self, came: Instant) {
+        self.came = came;
+    }
+
     /// When [`Front::turn`] has something to do.
     pub fn next_timer(&self, now: Instant) -> Instant {
         if !self.backlog.is_empty() {
@@ -224,6 +233,7 @@
             return self.drop_client(id, core);
         }
         client.conn.told(ends);
+        client.arrivals.told(self.came);
         client.used = now;
         if self.heard < MOST_HEARD && !client.queued {
             self.heard += 1;
@@ -260,7 +270,7 @@
         };
         let sheds = self.standing.shed_from.is_some_and(|from| from <= now);
         let yes = self.standing.yes;
-        let mut intake = Intake { core, conn: id, now: self.clock.unix(now), declines, yes };
+        let unix = self.clock.unix(now);
         // Guards against a client that says more than all others together.
         let mut left = MOST_TAKEN;
         while client.closing.is_none() {
@@ -274,14 +284,20 @@
                 client.partial = None;
                 return;
             }
+            let before = client.conn.input.len();
             let end = client.conn.read(MOST_INPUT);
             if end.is_over() {
                 return self.drop_client(id, core);
             }
+            client.arrivals.read(client.conn.input.len() - before, now, end == ReadEnd::Blocked);
             let (mut at, mut closing) = (0, false);
+            let (clock, arrivals) = (self.clock, &client.arrivals);
+            let mut intake =
+                Intake { core: &mut *core, conn: id, now: unix, arrivals, clock, at, declines, yes };
             while !closing && left > 0 && client.conn.unwritten() <= MOST_UNREAD {
                 let mut output = Vec::new();
                 let input = &client.conn.input[at..];
+                intake.at = at;
                 match self.protocol.take(&mut client.session, input, &mut output, &mut intake) {
                     Ok(0) => break,
                     Ok(length) => (at, left) = (at + length, left - 1),
@@ -290,6 +306,7 @@
                 client.conn.push(&output);
             }
             client.conn.consume(at);
+            client.arrivals.take(at);
             if closing {
                 return self.end(now, id, core);
             }
--- a/src/front/protocol.rs
+++ b/src/front/protocol.rs
@@ -1,5 +1,7 @@
 //! What a front needs of the wire that its clients speak, and how a wire's requests come into the core.
 
+use super::arrivals::Arrivals;
+use crate::clock::Clock;
 use crate::core::{Answer, Content, Core, Origin};
 use crate::interface::{NewRequest, RequestId};
 use std::time::Duration;
@@ -85,6 +87,8 @@
     Elsewhere,
     /// Its id is that of an open request.
     IdInUse,
+    /// Too much of its client's time had passed when it was read.
+    Late,
 }
 
 /// Takes requests into the core for one connection.
@@ -93,6 +97,11 @@
     pub core: &'a mut Core,
     pub(super) conn: usize,
     pub(super) now: Duration,
+    /// When what is taken came.
+    pub(super) arrivals: &'a Arrivals,
+    pub(super) clock: Clock,
+    /// Bytes that were taken before this command.
+    pub(super) at: usize,
     /// Why nothing is taken now: bodies held are at their limit, the connection is one too many, or the address
     /// that it came by is another machine's.
     pub(super) declines: Option<Declined>,
@@ -101,15 +110,21 @@
 }
 
 impl Intake<'_> {
-    /// Takes a request whose client waits for `patience` from now on. Guards against running out of memory and of
-    /// descriptors: it is declined while what is held for clients, or their number, takes up its part.
+    /// When the last byte of a command came that takes up so many bytes.
+    fn came(&self, length: usize) -> Duration {
+        self.arrivals.of(self.at + length).map_or(self.now, |came| self.clock.unix(came)).min(self.now)
+    }
+
+    /// Takes a request of `length` bytes, whose client waits for `patience` from its last byte on. Guards against running
+    /// out of memory and of descriptors: it is declined while what is held for clients, or their number, takes up its
+    /// part. Guards others against what comes to nothing: one that has waited here for half of its time is declined.
     ///
     /// # Errors
     ///
     /// Why it was declined; nothing of it is kept then.
     pub fn take(
         &mut self,
-        place: u64,
+        (place, length): (u64, usize),
         mut new: NewRequest,
         patience: Duration,
         content: Content,
@@ -117,14 +132,19 @@
         if let Some(why) = self.declines {
             return Err(why);
         }
-        let patience = patience.saturating_sub(MARGIN).max(Duration::from_millis(1));
-        new.deadline = self.now + patience;
+        let came = self.came(length);
+        if self.now - came > patience / 2 {
+            self.core.counters.read_late += 1;
+            tracing::debug!(id = content.id, waited = ?(self.now - came), "declined: read too late");
+            return Err(Declined::Late);
+        }
+        new.deadline = came + patience.saturating_sub(MARGIN).max(Duration::from_millis(1));
         let origin = Origin { conn: self.conn, place };
         self.core.take(origin, new, content).ok_or(Declined::IdInUse)
     }
 
-    /// The last byte of a request's body has come, and its client waits for `patience` from now on.
-    pub fn body_came(&mut self, request: RequestId, patience: Duration) {
-        self.core.body_came(request, self.now + patience.saturating_sub(MARGIN));
+    /// The last byte of a request's body has come, the last of `length`, and its client waits for `patience` from then on.
+    pub fn body_came(&mut self, request: RequestId, length: usize, patience: Duration) {
+        self.core.body_came(request, self.came(length) + patience.saturating_sub(MARGIN));
     }
 }
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -101,7 +101,7 @@
                 }
                 Ok(Command::Request { new, patience, content }) => {
                     session.requested = true;
-                    match intake.take(place, new, patience, *content) {
+                    match intake.take((place, length), new, patience, *content) {
                         Ok(request) => (Some(length), Some(request), None),
                         Err(why) => (Some(length), None, Some(self.declined(why))),
                     }
@@ -279,7 +279,7 @@
                 }
                 // The client's time counts from its last byte, which may be long in coming.
                 let patience = receiving.patience + if done { Duration::ZERO } else { LONGEST_BODY };
-                match intake.take(receiving.place, new, patience, content) {
+                match intake.take((receiving.place, count), new, patience, content) {
                     Ok(request) => {
                         let pending = session.pending.iter_mut().find(|it| it.place == receiving.place);
                         pending.into_iter().for_each(|pending| pending.request = Some(request));
@@ -292,7 +292,7 @@
             } else if done {
                 let request = session.pending.iter().find(|it| it.place == receiving.place);
                 if let Some(request) = request.and_then(|pending| pending.request) {
-                    intake.body_came(request, receiving.patience);
+                    intake.body_came(request, count, receiving.patience);
                 }
             }
         }
@@ -308,7 +308,7 @@
 
     fn declined(&self, why: Declined) -> Vec<u8> {
         match why {
-            Declined::Full => refusal(self.retry_after),
+            Declined::Full | Declined::Late => refusal(self.retry_after),
             Declined::Elsewhere => refusal(ELSEWHERE_AFTER),
             Declined::IdInUse => error("the id is in use"),
         }
--- a/src/nodes.rs
+++ b/src/nodes.rs
@@ -23,6 +23,7 @@
 
 /// A listed node.
 struct Known {
+    name: String,
     endpoint: Endpoint,
     /// As discovery has it.
     line: NodeEntry,
@@ -89,10 +90,11 @@
 
     /// Adds storage of the second front; it is there from the start to the end.
     pub fn add_own(&mut self, storage: &Storage) {
-        let node = self.id(&format!("iscsi {}", storage.name));
+        let name = format!("iscsi {}", storage.name);
+        let node = self.id(&name);
         let endpoint = Endpoint { address: storage.address, wire: Wire::Iscsi(storage.name.clone()) };
         let entry = NodeEntry { node, shard: storage.shard, fixed: true, ..NodeEntry::default() };
-        self.known.insert(node, Known { endpoint, line: entry.clone(), drains: None });
+        self.known.insert(node, Known { name, endpoint, line: entry.clone(), drains: None });
         self.own.push(entry);
     }
 
@@ -129,26 +131,39 @@
             let drains = (state == NodeState::Draining).then_some(since);
             let endpoint = Endpoint { address: line.address, wire: Wire::Resp };
             let out = self.is_out(&line.name) && state != NodeState::Gone;
-            self.known.insert(node, Known { endpoint, line: entry.clone(), drains });
+            self.known.insert(node, Known { name: line.name, endpoint, line: entry.clone(), drains });
             entries.push(if out { drained(&entry) } else { entry });
         }
+        let mut gone: BTreeSet<NodeId> = entries.iter().map(|entry| entry.node).collect();
         if kind != ListKind::Delta {
             entries.extend(self.own.iter().map(|line| self.shown(line)));
-            // Whoever is not on a whole list is gone.
-            for (node, known) in &mut self.known {
-                if !entries.iter().any(|entry| entry.node == *node) {
-                    known.line.state = NodeState::Gone;
-                }
-            }
+            gone = self.drop_unlisted(&entries);
         }
-        let gone = self.known.iter().filter(|(_, known)| known.line.state == NodeState::Gone);
-        let gone = gone.map(|(node, _)| *node).collect();
-        // Guards against a day on which nodes are replaced over and over: who is gone is not remembered.
-        self.known.retain(|_, known| known.line.state != NodeState::Gone);
-        self.ids.retain(|_, node| self.known.contains_key(node));
+        gone.retain(|node| self.is_gone(*node));
+        gone.iter().for_each(|node| self.forget(*node));
         let (ids, bans) = (&self.ids, &self.bans);
         self.returned.retain(|name, _| ids.contains_key(name) || bans.contains_key(name));
-        (Event::List { kind, entries }, gone)
+        (Event::List { kind, entries }, gone.into_iter().collect())
+    }
+
+    /// Whoever is not on a whole list is gone. All nodes that were known.
+    fn drop_unlisted(&mut self, entries: &[NodeEntry]) -> BTreeSet<NodeId> {
+        let listed: BTreeSet<NodeId> = entries.iter().map(|entry| entry.node).collect();
+        for (_, known) in self.known.iter_mut().filter(|(node, _)| !listed.contains(node)) {
+            known.line.state = NodeState::Gone;
+        }
+        self.known.keys().copied().collect()
+    }
+
+    fn is_gone(&self, node: NodeId) -> bool {
+        self.known.get(&node).is_some_and(|known| known.line.state == NodeState::Gone)
+    }
+
+    /// Guards against a day on which nodes are replaced over and over: who is gone is not remembered.
+    fn forget(&mut self, node: NodeId) {
+        if let Some(known) = self.known.remove(&node) {
+            self.ids.remove(&known.name);
+        }
     }
 
     /// Nothing more to a target, whatever discovery says, until it is called back. Calls may repeat: the first counts.
@@ -277,11 +292,15 @@
         }
         let ago = |age: Duration| now.checked_sub(age).unwrap_or(now);
         self.next_id = self.next_id.max(carried.next_id);
+        let names: HashMap<NodeId, String> =
+            carried.ids.iter().map(|(name, id)| (*id, name.clone())).collect();
         self.ids.extend(carried.ids);
         for (address, line, drains) in carried.nodes {
             let endpoint = Endpoint { address, wire: Wire::Resp };
-            self.known.insert(line.node, Known { endpoint, line, drains: drains.map(ago) });
+            let name = names.get(&line.node).cloned().unwrap_or_default();
+            self.known.insert(line.node, Known { name, endpoint, line, drains: drains.map(ago) });
         }
+        self.ids.retain(|_, node| self.known.contains_key(node));
         let bans = carried.bans.into_iter().take(MOST_BANS);
         self.bans = bans.map(|(name, age, unix)| (name, Ban { since: ago(age), unix })).collect();
         self.returned = carried.returned.into_iter().take(MOST_NAMES).collect();
@@ -299,9 +318,11 @@
         closes.is_none_or(|closes| now < closes).then_some((&known.endpoint, closes))
     }
 
-    /// Nodes that drain, and when nothing more may begin there.
-    pub fn closing(&self, grace: Duration) -> impl Iterator<Item = (NodeId, Instant)> + '_ {
-        self.known.keys().filter_map(move |node| Some((*node, self.since(*node)? + grace)))
+    /// Of the nodes in a message of the list, those that drain, and when nothing more may begin there.
+    pub fn closing(&self, message: &Event, grace: Duration) -> Vec<(NodeId, Instant)> {
+        let Event::List { entries, .. } = message else { return Vec::new() };
+        let draining = entries.iter().filter(|entry| entry.state == NodeState::Draining);
+        draining.filter_map(|entry| Some((entry.node, self.since(entry.node)? + grace))).collect()
     }
 
     /// Since when a node is to get nothing new, whoever said so first.
--- a/src/nodes/tests.rs
+++ b/src/nodes/tests.rs
@@ -194,7 +194,7 @@
     // The same names again are no news, and do not begin its grace anew.
     let later = now + GRACE / 2;
     assert_eq!(nodes.configure_out(later, seconds(101), &names(&["s-2"])), None);
-    let closes: Vec<Instant> = nodes.closing(GRACE).map(|(_, closes)| closes).collect();
+    let closes: Vec<Instant> = nodes.closing(&event, GRACE).into_iter().map(|(_, closes)| closes).collect();
     assert_eq!(closes, [now + GRACE]);
     let open = |nodes: &Nodes, now| nodes.open(now, nodes.ids["s-2"], GRACE).is_some();
     assert!(open(&nodes, now + GRACE / 2) && !open(&nodes, now + GRACE));
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -24,6 +24,8 @@
     /// Part of the time that the loop was busy, or kept from its work.
     busy: f64,
     late: Duration,
+    /// For how long at most what is ready in this turn has waited.
+    waited: Duration,
 }
 
 impl Pace {
@@ -37,6 +39,7 @@
             stopped: false,
             busy: 0.0,
             late: Duration::ZERO,
+            waited: Duration::ZERO,
         }
     }
 
@@ -63,6 +66,7 @@
         let kept = if std::mem::take(&mut self.stopped) { asleep } else { Duration::ZERO };
         let waited = asleep.saturating_sub(self.pause + kept);
         let late = (worked + self.pause).saturating_sub(waited) + kept;
+        self.waited = late;
         // What was sent late is answered late a turn on.
         self.late = late.max(self.late / 2);
         if self.late < self.tick {
@@ -77,6 +81,11 @@
         self.woke = now;
         self.late
     }
+
+    /// For how long at most what is ready in this turn has waited for this loop: what has come is that old.
+    pub fn waited(&self) -> Duration {
+        self.waited
+    }
 }
 
 #[cfg(test)]
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -17,7 +17,7 @@
 use crate::interface::{Action, Event, Settings};
 use crate::rules::carry::Carried;
 use crate::rules::reconfigure::FixedSettings;
-use crate::Scheduler;
+use crate::{Denials, Scheduler};
 use std::time::Instant;
 
 /// The scheduler of this process, called directly.
@@ -39,6 +39,11 @@
         actions
     }
 
+    /// Requests that were answered with no since the start, by reason.
+    pub fn denials(&self) -> Denials {
+        self.scheduler.denials()
+    }
+
     /// Decides by changed settings from now on.
     ///
     /// # Errors
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -12,7 +12,7 @@
 use crate::flow::{Flow, WINDOW};
 use crate::interface::{NodeId, Outcome};
 use mio::{Registry, Token};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -203,8 +203,12 @@
 pub struct Targets {
     conns: FxHashMap<usize, Target>,
     by_attempt: FxHashMap<AttemptId, usize>,
-    /// Idle connections by node, that used last at the end.
+    /// Connections by node.
+    by_node: FxHashMap<NodeId, FxHashSet<usize>>,
+    /// Idle connections by node, that used last at the end; no list is empty.
     idle: FxHashMap<NodeId, Vec<usize>>,
+    /// All idle connections, that used longest ago first.
+    idle_order: BTreeSet<(Instant, usize)>,
     /// Attempts that have not begun, by when their connections time out or they may not begin any more.
     unbegun: BTreeSet<(Instant, usize)>,
     /// Connections with a part of an answer, by when that is to have gone on.
@@ -230,7 +234,9 @@
         Targets {
             conns: FxHashMap::default(),
             by_attempt: FxHashMap::default(),
+            by_node: FxHashMap::default(),
             idle: FxHashMap::default(),
+            idle_order: BTreeSet::new(),
             unbegun: BTreeSet::new(),
             answering: VecDeque::new(),
             flowing: VecDeque::new(),
@@ -266,7 +272,7 @@
                 && target.conn.read(LARGEST_ANSWER) == ReadEnd::Blocked
                 && target.conn.input.is_empty();
             if !fresh {
-                self.conns.remove(&id);
+                self.forget(id);
                 continue;
             }
             (target.attempt, target.waiting, target.begin_by) = (Some(attempt), waiting, begin_by);
@@ -310,18 +316,32 @@
             credit: None,
         };
         self.conns.insert(token.0, target);
+        self.by_node.entry(node).or_default().insert(token.0);
         self.by_attempt.insert(attempt, token.0);
         self.unbegun.insert((begin_by.min(now + self.connect_timeout), token.0));
     }
 
     /// The connection to a node that was used last among those that have rested.
     fn take_idle(&mut self, now: Instant, node: NodeId) -> Option<usize> {
-        let idle = self.idle.get_mut(&node)?;
+        let idle = self.idle.get(&node)?;
         let conns = &self.conns;
         let rested =
             |id: &usize| conns.get(id).is_none_or(|target| target.idle_since + target.session.rest() <= now);
-        let at = idle.iter().rposition(rested)?;
-        Some(idle.remove(at))
+        let id = *idle.iter().rfind(|id| rested(id))?;
+        self.leave_idle(node, id);
+        Some(id)
+    }
+
+    /// An idle connection is so no more.
+    fn leave_idle(&mut self, node: NodeId, id: usize) {
+        let Some(idle) = self.idle.get_mut(&node) else { return };
+        idle.retain(|other| *other != id);
+        if idle.is_empty() {
+            self.idle.remove(&node);
+        }
+        if let Some(target) = self.conns.get(&id) {
+            self.idle_order.remove(&(target.idle_since, id));
+        }
     }
 
     /// How many there are of what is kept here, by name.
@@ -342,9 +362,10 @@
             let (node, begun) = (self.conns[&id].node, self.conns[&id].begun);
             let conns = &self.conns;
             let silent = |id: &usize| conns.get(id).is_none_or(|other| other.idle_since < begun);
-            let idle =
-                self.idle.get_mut(&node).map(|idle| idle.extract_if(.., |id| silent(id)).collect::<Vec<_>>());
-            idle.into_iter().flatten().for_each(|id| self.forget(id));
+            let idle = self.idle.get(&node).into_iter().flatten().copied().filter(silent);
+            for id in idle.collect::<Vec<_>>() {
+                self.forget(id);
+            }
         }
         self.end(id, outcome);
     }
@@ -361,8 +382,9 @@
     /// Nothing that has put out no byte may begin at a node after that: guards a drain against connections that were
     /// being made when it was told, and come up late.
     pub fn close_at(&mut self, node: NodeId, closes: Instant) {
-        for (id, target) in &mut self.conns {
-            if target.node == node && target.is_unsent() && target.begin_by > closes {
+        for id in self.by_node.get(&node).into_iter().flatten() {
+            let target = self.conns.get_mut(id);
+            if let Some(target) = target.filter(|target| target.is_unsent() && target.begin_by > closes) {
                 target.begin_by = closes;
                 self.unbegun.insert((closes, *id));
             }
@@ -373,9 +395,8 @@
     /// first byte that goes out long after that was told.
     pub fn leave(&mut self, node: NodeId) {
         self.close_idle(node);
-        let unbegun = |target: &Target| target.node == node && target.is_unsent();
-        let ids: Vec<usize> = self.conns.iter().filter(|(_, it)| unbegun(it)).map(|(id, _)| *id).collect();
-        for id in ids {
+        let here = self.by_node.get(&node).into_iter().flatten().copied();
+        for id in here.filter(|id| self.conns[id].is_unsent()).collect::<Vec<_>>() {
             self.end(id, Outcome::NotConnected);
         }
     }
@@ -387,25 +408,31 @@
 
     /// Closes all connections that are idle: another process needs the descriptors.
     pub fn close_all_idle(&mut self) {
-        for id in std::mem::take(&mut self.idle).into_values().flatten() {
-            self.conns.remove(&id);
+        for (_, id) in std::mem::take(&mut self.idle_order) {
+            self.forget(id);
         }
     }
 
+    /// Whether attempts ended, or long values went on, that nobody has asked for yet.
+    pub fn has_news(&self) -> bool {
+        !self.ended.is_empty() || !self.flowing.is_empty()
+    }
+
     /// Connections held.
     pub fn len(&self) -> usize {
         self.conns.len()
     }
 
     fn close_idle(&mut self, node: NodeId) {
-        for id in self.idle.remove(&node).unwrap_or_default() {
-            self.conns.remove(&id);
+        for id in self.idle.get(&node).cloned().unwrap_or_default() {
+            self.forget(id);
         }
     }
 
     fn close_an_idle_one(&mut self) {
-        if let Some(id) = self.idle.values_mut().find_map(|idle| (!idle.is_empty()).then(|| idle.remove(0))) {
-            self.conns.remove(&id);
+        // Whoever was used longest ago is the least likely to be used again.
+        if let Some((_, id)) = self.idle_order.first().copied() {
+            self.forget(id);
         }
     }
 
@@ -566,8 +593,9 @@
         self.ended.push((attempt, ended));
         if clean {
             self.idle.entry(target.node).or_default().push(id);
+            self.idle_order.insert((now, id));
         } else {
-            self.conns.remove(&id);
+            self.forget(id);
         }
     }
 
@@ -584,12 +612,13 @@
     }
 
     fn forget(&mut self, id: usize) {
-        if let Some(target) = self.conns.remove(&id) {
-            if let Some(idle) = self.idle.get_mut(&target.node) {
-                idle.retain(|other| *other != id);
-                if idle.is_empty() {
-                    self.idle.remove(&target.node);
-                }
+        let Some(node) = self.conns.get(&id).map(|target| target.node) else { return };
+        self.leave_idle(node, id);
+        self.conns.remove(&id);
+        if let Some(here) = self.by_node.get_mut(&node) {
+            here.remove(&id);
+            if here.is_empty() {
+                self.by_node.remove(&node);
             }
         }
     }
