--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -21,6 +21,7 @@
 use crate::arguments::Common;
 use crate::hollow;
 use figure::{Figure, Role};
+pub use initiator::{own_address, own_folder, program};
 use report::Report;
 use scale::Scale;
 use serde_json::Value;
@@ -30,7 +31,7 @@
 type Measure = fn(&Scale) -> Result<Vec<Figure>, String>;
 
 /// The parts, by the names that `--only` takes.
-const PARTS: [(&str, Measure); 8] = [
+const PARTS: [(&str, Measure); 9] = [
     ("module", parts::module::measure),
     ("nodes", parts::nodes::measure),
     ("members", parts::members::measure),
@@ -39,6 +40,7 @@
     ("process", parts::process::measure),
     ("configuration", parts::configuration::measure),
     ("regions", parts::regions::measure),
+    ("fleet", parts::fleet::measure),
 ];
 
 /// The name of the run of hollow initiators among the parts.
--- a/lab/src/capacity/parts/mod.rs
+++ b/lab/src/capacity/parts/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod configuration;
 pub mod connections;
+pub mod fleet;
 pub mod members;
 pub mod module;
 pub mod nodes;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -10,6 +10,7 @@
 mod planners;
 mod revisions;
 mod settings;
+mod soak;
 mod stand_ins;
 mod sync;
 mod vrrp;
@@ -31,6 +32,8 @@
     Load(load::Options),
     /// From a drain's announcement to the last attempt, and calls of discovery, where that is asked.
     Drains(arguments::Common),
+    /// Seeded faults against the real process: signals in series, drains, hangs, resets, slow discovery, crowds.
+    Soak(soak::Options),
     /// Settings drawn at random, each played in virtual time: every rule is checked on what was seen.
     Settings(settings::command::Options),
     /// Membership among real processes that are stopped, cut, killed and lied to.
@@ -71,6 +74,7 @@
     let done = match Arguments::parse().command {
         Command::Load(options) => load::run(&options),
         Command::Drains(arguments) => drains::run(&arguments),
+        Command::Soak(options) => soak::run(&options),
         Command::Settings(options) => settings::command::run(&options),
         Command::Fleet(arguments) => membership::processes::run(&arguments),
         Command::FleetScript(options) => membership::script::run(&options),
--- /dev/null
+++ b/lab/src/soak/checker/tests.rs
@@ -0,0 +1,136 @@
+//! Each rule is seen to be broken on a planted fault, and to hold on what is just allowed.
+
+use super::*;
+use crate::soak::history::Told;
+
+const GRACE: Duration = ms(2_000);
+
+struct Seen {
+    start: Instant,
+    history: History,
+}
+
+impl Seen {
+    /// A read that was served at node 3, half a second after it came.
+    fn new() -> Self {
+        let start = Instant::now();
+        let end = Some((start + ms(500), End::Answered { served: true }));
+        let request =
+            Request { id: "a".into(), kind: Kind::Read, sent: start, waits: ms(1_000), reused: false, end };
+        let attempt = Attempt { id: "a".into(), node: 3, begun: start + ms(10), left: ms(980) };
+        let history = History {
+            requests: vec![request],
+            attempts: vec![attempt],
+            grace: GRACE,
+            window: ms(5_000),
+            descriptors: (100, 512),
+            ..History::default()
+        };
+        Seen { start, history }
+    }
+
+    fn end(mut self, after: u64, end: End) -> Self {
+        self.history.requests[0].end = Some((self.start + ms(after), end));
+        self
+    }
+
+    fn again(mut self, node: usize, after: u64) -> Self {
+        self.history.requests[0].kind = Kind::Write;
+        // Long enough that the time told is not what is wrong.
+        self.history.requests[0].waits = ms(6_000);
+        let begun = self.start + ms(after);
+        self.history.attempts.push(Attempt { id: "a".into(), node, begun, left: ms(1) });
+        self
+    }
+
+    fn told(mut self, listing: Listing, before: u64) -> Self {
+        let at = self.start.checked_sub(ms(before)).unwrap();
+        self.history.told.push(Told { node: 3, listing, at });
+        self
+    }
+
+    fn broken(&self) -> Vec<&'static str> {
+        check(&self.history).into_iter().map(|breach| breach.rule).collect()
+    }
+}
+
+#[test]
+fn what_is_allowed_breaks_nothing() {
+    assert!(Seen::new().broken().is_empty());
+    assert!(Seen::new().end(1_499, End::Answered { served: false }).broken().is_empty());
+    assert!(Seen::new().again(3, 4_000).broken().is_empty());
+}
+
+#[test]
+fn a_request_without_an_answer_in_its_time_is_lost() {
+    assert_eq!(Seen::new().end(1_501, End::Answered { served: true }).broken(), ["lost"]);
+    assert_eq!(Seen::new().end(300, End::Closed).broken(), ["lost"]);
+    let mut never = Seen::new();
+    never.history.requests[0].end = None;
+    assert_eq!(never.broken(), ["lost"]);
+}
+
+#[test]
+fn what_sigkill_finds_open_is_lost_unless_it_came_soon_after_sigterm() {
+    let killed = |sent_after_term: u64| {
+        let mut seen = Seen::new().end(600, End::Closed);
+        let terminated = seen.start.checked_sub(ms(sent_after_term)).unwrap();
+        seen.history.terminated = Some(terminated);
+        seen.history.killed = Some(seen.start + ms(600));
+        seen.broken()
+    };
+    assert!(killed(699).is_empty());
+    assert_eq!(killed(701), ["lost"]);
+}
+
+#[test]
+fn a_request_that_crosses_the_end_of_a_resting_connection_is_sent_again() {
+    let mut seen = Seen::new().end(10, End::Closed);
+    assert_eq!(seen.broken(), ["lost"], "a new connection");
+    seen.history.requests[0].reused = true;
+    assert!(seen.broken().is_empty());
+}
+
+#[test]
+fn a_write_runs_at_one_shard_within_its_window() {
+    assert_eq!(Seen::new().again(4, 20).broken(), ["duplicate"]);
+    assert_eq!(Seen::new().again(3, 5_100).broken(), ["duplicate"]);
+}
+
+#[test]
+fn nothing_begins_for_a_client_that_left() {
+    let mut seen = Seen::new().end(20, End::Left);
+    assert!(seen.broken().is_empty());
+    seen.history.attempts[0].begun = seen.start + ms(200);
+    seen.history.attempts[0].left = ms(500);
+    assert_eq!(seen.broken(), ["gone"]);
+}
+
+#[test]
+fn a_node_is_told_no_more_than_its_client_has_left() {
+    let mut seen = Seen::new();
+    seen.history.attempts[0].left = ms(1_145);
+    assert_eq!(seen.broken(), ["deadline"]);
+}
+
+#[test]
+fn nothing_begins_after_the_grace_of_a_drain() {
+    assert_eq!(Seen::new().told(Listing::Draining, 2_100).broken(), ["drain"]);
+    assert!(Seen::new().told(Listing::Draining, 1_900).broken().is_empty());
+    let again = Seen::new().told(Listing::Gone, 9_000).told(Listing::Ready, 100);
+    assert!(again.broken().is_empty(), "it is listed again");
+    assert_eq!(Seen::new().told(Listing::Draining, 2_500).told(Listing::Gone, 100).broken(), ["drain"]);
+}
+
+#[test]
+fn a_crash_and_too_many_descriptors_are_seen() {
+    let mut seen = Seen::new();
+    seen.history.ended = Some(seen.start);
+    seen.history.descriptors = (513, 512);
+    assert_eq!(seen.broken(), ["crash", "descriptors"]);
+}
+
+#[test]
+fn something_that_is_no_answer_is_seen() {
+    assert_eq!(Seen::new().end(20, End::Garbled("?".into())).broken(), ["answer"]);
+}
--- /dev/null
+++ b/lab/src/soak/rig.rs
@@ -0,0 +1,353 @@
+//! One run: the real process between stand-ins that all live on one thread, so that what they saw has one clock.
+
+use super::clients::Clients;
+use super::history::{History, Listing};
+use super::nodes::{Nodes, Trouble};
+use super::plan::{Fault, Plan};
+use super::process::Process;
+use super::registry::Registry;
+use super::wire::Wire;
+use crate::capacity::own_address;
+use mio::net::TcpListener;
+use mio::{Events, Interest, Poll, Token};
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+/// The remainder of a token by this tells whose it is.
+const KINDS: usize = 4;
+const NODE_LISTENER: usize = 0;
+const NODE: usize = 1;
+const DISCOVERY: usize = 2;
+const CLIENT: usize = 3;
+const REGISTRY: Token = Token(usize::MAX - 1);
+/// How often the process's descriptors are counted.
+const COUNT_EVERY: Duration = ms(200);
+/// New connections go on arriving for so long after SIGTERM.
+const OPENS_AFTER_TERM: Duration = ms(300);
+/// What is done with a list of nodes takes no longer.
+const STARTS_WITHIN: Duration = Duration::from_secs(10);
+/// A listed drain ends in a leave this long after it began, as a rule.
+const LEAVES_AFTER: Duration = ms(700);
+const RETURNS_AFTER: Duration = ms(600);
+
+/// Something that happens at a time of its own.
+enum Step {
+    Begin(Fault),
+    List(Vec<usize>, Listing),
+    Stop(Duration),
+    Continue,
+    Reload,
+    Terminate,
+    Kill,
+}
+
+/// What a run came to.
+pub struct Played {
+    pub history: History,
+    pub figures: Figures,
+}
+
+/// What a run used.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Figures {
+    pub requests: usize,
+    pub served: usize,
+    pub attempts: usize,
+    pub node_connections: u64,
+    pub processor: Duration,
+    /// Bytes of memory at most.
+    pub memory: usize,
+    pub descriptors: usize,
+    /// Bytes of lists that discovery wrote.
+    pub list_bytes: u64,
+    /// From the start of the process until it let clients in.
+    pub started_within: Duration,
+}
+
+struct Rig<'a> {
+    plan: &'a Plan,
+    poll: Poll,
+    random: ChaCha8Rng,
+    next_token: usize,
+    process: Process,
+    discovery: TcpListener,
+    registry: Registry,
+    nodes: Nodes,
+    clients: Clients,
+    steps: BTreeMap<(Instant, usize), Step>,
+    history: History,
+    stopped: Option<Instant>,
+    next_request: Instant,
+    next_count: Instant,
+    started_within: Duration,
+}
+
+/// Plays a plan.
+///
+/// # Errors
+///
+/// The process or a stand-in does not start, or the machine does not let this be played.
+pub fn play(plan: &Plan) -> Result<Played, String> {
+    let mut rig = Rig::start(plan)?;
+    rig.run()?;
+    Ok(rig.finish())
+}
+
+fn told(error: std::io::Error) -> String {
+    error.to_string()
+}
+
+impl<'a> Rig<'a> {
+    fn start(plan: &'a Plan) -> Result<Self, String> {
+        let mut random = ChaCha8Rng::seed_from_u64(plan.seed ^ 0x736f_616b);
+        let poll = Poll::new().map_err(told)?;
+        let dead: BTreeSet<usize> = (0..plan.nodes).filter(|_| random.random_bool(plan.dead_share)).collect();
+        let token = |number: usize| Token(number * KINDS + NODE_LISTENER);
+        let nodes = Nodes::start(own_address(21), plan.nodes, &dead, plan.service, poll.registry(), token);
+        let nodes = nodes.map_err(told)?;
+        let registry = Registry::new(&nodes.addresses());
+        let mut discovery = TcpListener::bind(SocketAddr::from((own_address(22), 0))).map_err(told)?;
+        poll.registry().register(&mut discovery, REGISTRY, Interest::READABLE).map_err(told)?;
+        let address = discovery.local_addr().map_err(told)?;
+        let process = Process::start(plan, address, &registry.known())?;
+        let clients = Clients::new(process.listen, plan.nodes, plan.deadlines);
+        let now = Instant::now();
+        let history = History {
+            grace: super::process::DRAIN_GRACE,
+            window: super::process::WINDOW,
+            crowded: plan.crowd > 0,
+            descriptors: (0, plan.descriptors),
+            ..History::default()
+        };
+        Ok(Rig {
+            plan,
+            poll,
+            random,
+            next_token: plan.nodes,
+            process,
+            discovery,
+            registry,
+            nodes,
+            clients,
+            steps: BTreeMap::new(),
+            history,
+            stopped: None,
+            next_request: now,
+            next_count: now,
+            started_within: Duration::ZERO,
+        })
+    }
+
+    fn token(next: &mut usize, kind: usize) -> Token {
+        *next += 1;
+        Token(*next * KINDS + kind)
+    }
+
+    fn schedule(&mut self, at: Instant, step: Step) {
+        self.next_token += 1;
+        self.steps.insert((at, self.next_token), step);
+    }
+
+    fn run(&mut self) -> Result<(), String> {
+        self.started_within = self.process.wait_until_up(STARTS_WITHIN)?;
+        let start = Instant::now();
+        for (at, fault) in &self.plan.faults {
+            self.schedule(start + *at, Step::Begin(fault.clone()));
+        }
+        self.schedule(start + self.plan.ends, Step::Terminate);
+        let (registry, next) = (self.poll.registry(), &mut self.next_token);
+        self.clients.crowd(self.plan.crowd, b"", registry, || Self::token(next, CLIENT));
+        self.clients.crowd(self.plan.half_said, b"*4\r\n$7\r\nOBJ", registry, || Self::token(next, CLIENT));
+        self.next_request = start;
+        let mut events = Events::with_capacity(1024);
+        while self.history.killed.is_none() {
+            let next = self.next_timer();
+            let wait = next.saturating_duration_since(Instant::now());
+            match self.poll.poll(&mut events, Some(wait)) {
+                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => continue,
+                other => other.map_err(told)?,
+            }
+            let now = Instant::now();
+            self.history.standstill = self.history.standstill.max(now.saturating_duration_since(next));
+            self.turn(now, &events);
+            self.history.standstill = self.history.standstill.max(now.elapsed());
+        }
+        Ok(())
+    }
+
+    fn next_timer(&self) -> Instant {
+        let step = self.steps.first_key_value().map(|((at, _), _)| *at);
+        let others = [step, self.nodes.next_timer(), self.clients.next_timer(), self.registry.next_timer()];
+        let next = self.next_request.min(self.next_count);
+        others.into_iter().flatten().fold(next, Instant::min)
+    }
+
+    fn turn(&mut self, now: Instant, events: &Events) {
+        for event in events {
+            self.ready(now, event.token());
+        }
+        while let Some(entry) = self.steps.first_entry().filter(|entry| entry.key().0 <= now) {
+            let step = entry.remove();
+            self.step(now, step);
+        }
+        self.nodes.tick(now);
+        self.clients.tick(now);
+        self.registry.tick(now);
+        if self.next_count <= now {
+            self.next_count = now + COUNT_EVERY;
+            let seen = &mut self.history.descriptors.0;
+            *seen = (*seen).max(self.process.descriptors());
+            if self.history.ended.is_none() && self.process.has_ended() {
+                self.history.ended = Some(now);
+            }
+        }
+        while self.next_request <= now {
+            let gap =
+                -self.random.random_range(f64::MIN_POSITIVE..1.0f64).ln() / self.plan.requests_per_second;
+            self.next_request += Duration::from_secs_f64(gap);
+            let opens = self.history.terminated.is_none_or(|at| now < at + OPENS_AFTER_TERM);
+            let (registry, next) = (self.poll.registry(), &mut self.next_token);
+            self.clients.send(now, &mut self.random, registry, opens, || Self::token(next, CLIENT));
+        }
+    }
+
+    fn ready(&mut self, now: Instant, token: Token) {
+        if token == REGISTRY {
+            while let Ok((stream, _)) = self.discovery.accept() {
+                let token = Self::token(&mut self.next_token, DISCOVERY);
+                if let Ok(wire) = Wire::new(stream, token, self.poll.registry()) {
+                    self.registry.accept(token, wire);
+                }
+            }
+            return;
+        }
+        match token.0 % KINDS {
+            NODE_LISTENER => self.accept_at(token.0 / KINDS),
+            NODE => self.nodes.ready(now, token, &mut self.random),
+            DISCOVERY => self.registry.ready(now, token, self.poll.registry()),
+            _ => self.clients.ready(token),
+        }
+    }
+
+    fn accept_at(&mut self, node: usize) {
+        let (registry, next) = (self.poll.registry(), &mut self.next_token);
+        self.nodes.accept(node, registry, || Self::token(next, NODE));
+    }
+
+    fn step(&mut self, now: Instant, step: Step) {
+        match step {
+            Step::Begin(fault) => self.begin(now, fault),
+            Step::List(nodes, listing) => self.registry.change(now, &nodes, listing),
+            Step::Stop(lasts) => {
+                if self.stopped.is_none() && self.history.killed.is_none() {
+                    self.process.signal("STOP");
+                    self.stopped = Some(now);
+                    self.schedule(now + lasts, Step::Continue);
+                }
+            }
+            Step::Continue => {
+                self.process.signal("CONT");
+                let since = self.stopped.take();
+                self.history.holds.extend(since.map(|since| (since, Instant::now())));
+            }
+            Step::Reload => self.process.signal("HUP"),
+            Step::Terminate => {
+                self.process.signal("TERM");
+                self.history.terminated = Some(now);
+                self.schedule(now + self.plan.grace(), Step::Kill);
+            }
+            Step::Kill => {
+                if self.process.has_ended() {
+                    self.history.ended.get_or_insert(now);
+                }
+                self.process.kill();
+                self.history.killed = Some(now);
+            }
+        }
+    }
+
+    fn begin(&mut self, now: Instant, fault: Fault) {
+        match fault {
+            Fault::Replace { share, steps, pause } => self.replace(now, share, steps, pause),
+            Fault::WholeList => self.registry.tell_whole(now),
+            Fault::Silence { lasts } => self.registry.be_silent(now + lasts),
+            Fault::Slow { lasts, delay } => self.registry.be_slow(now + lasts, delay),
+            Fault::ResetDiscovery => self.registry.reset(),
+            Fault::Hang { share, lasts } => self.trouble(share, Trouble::Hangs, now + lasts),
+            Fault::Down { share, lasts } => self.trouble(share, Trouble::Down, now + lasts),
+            Fault::Errors { share, lasts } => self.trouble(share, Trouble::Errors, now + lasts),
+            Fault::DropIdle { share } => {
+                let nodes = self.draw_nodes(share);
+                self.nodes.drop_idle(&nodes);
+            }
+            Fault::ClientsLeave { share } => self.clients.leave(share, &mut self.random),
+            Fault::Hold { times, each, pause } => {
+                (0..times as u32)
+                    .for_each(|time| self.schedule(now + (each + pause) * time, Step::Stop(each)));
+            }
+            Fault::Reload { times, pause } => {
+                (0..times as u32).for_each(|time| self.schedule(now + pause * time, Step::Reload));
+            }
+        }
+    }
+
+    fn draw_nodes(&mut self, share: f64) -> Vec<usize> {
+        (0..self.plan.nodes).filter(|_| self.random.random_bool(share)).collect()
+    }
+
+    fn trouble(&mut self, share: f64, trouble: Trouble, until: Instant) {
+        let nodes = self.draw_nodes(share);
+        self.nodes.trouble(&nodes, trouble, until);
+    }
+
+    /// Nodes drain, leave and come back, one step after another.
+    fn replace(&mut self, now: Instant, share: f64, steps: usize, pause: Duration) {
+        let mut ready: Vec<usize> = self.registry.ready_nodes().into_iter().collect();
+        ready.shuffle(&mut self.random);
+        ready.truncate((ready.len() as f64 * share).ceil() as usize);
+        let each = ready.len().div_ceil(steps).max(1);
+        for (number, nodes) in ready.chunks(each).enumerate() {
+            let at = now + pause * number as u32;
+            self.schedule(at, Step::List(nodes.to_vec(), Listing::Draining));
+            self.schedule(at + LEAVES_AFTER, Step::List(nodes.to_vec(), Listing::Gone));
+            self.schedule(at + LEAVES_AFTER + RETURNS_AFTER, Step::List(nodes.to_vec(), Listing::Ready));
+        }
+    }
+
+    fn finish(mut self) -> Played {
+        // What the process wrote before it was killed is still read.
+        let mut events = Events::with_capacity(1024);
+        for _ in 0..5 {
+            if self.poll.poll(&mut events, Some(ms(10))).is_ok() {
+                let now = Instant::now();
+                let tokens: Vec<Token> = events.iter().map(|event| event.token()).collect();
+                tokens.into_iter().for_each(|token| self.ready(now, token));
+            }
+        }
+        let mut history = self.history;
+        (history.requests, history.attempts) = (self.clients.requests, self.nodes.attempts);
+        history.told = self.registry.told;
+        let served = |request: &&super::history::Request| {
+            matches!(request.end, Some((_, super::history::End::Answered { served: true })))
+        };
+        let figures = Figures {
+            requests: history.requests.len(),
+            served: history.requests.iter().filter(served).count(),
+            attempts: history.attempts.len(),
+            node_connections: self.nodes.accepted,
+            processor: self.process.used(),
+            memory: self.process.peak_memory(),
+            descriptors: history.descriptors.0,
+            list_bytes: self.registry.written,
+            started_within: self.started_within,
+        };
+        Played { history, figures }
+    }
+}
--- /dev/null
+++ b/lab/src/soak/tests.rs
@@ -0,0 +1,23 @@
+use super::*;
+use crate::sync::processor;
+
+/// Seeds of the short form: few enough for a minute, and each with another fleet.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
+
+#[test]
+fn a_seed_replays_the_same_plan() {
+    for seed in 1..50 {
+        assert_eq!(Plan::draw(seed, false), Plan::draw(seed, false));
+    }
+    assert_ne!(Plan::draw(1, false).faults, Plan::draw(2, false).faults);
+}
+
+#[test]
+fn seeded_faults_break_no_rule() {
+    let _alone = processor::alone();
+    for seed in SEEDS {
+        let options = Options { seed, seeds: 1, short: true, plan: false, json: false };
+        let breaches = processor::steady(|| play(seed, &options).unwrap());
+        assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
+    }
+}
--- a/src/rules/node_table.rs
+++ b/src/rules/node_table.rs
@@ -353,7 +353,7 @@
     /// # Panics
     ///
     /// An index differs from what a walk over all nodes finds.
-    #[cfg(debug_assertions)]
+    #[cfg(any(debug_assertions, test))]
     fn check_all(&self) {
         let is_ready_of = |shard| self.nodes.values().any(|it| it.is_ready() && it.entry.shard == shard);
         let is_usable = |node: &&Node| {
@@ -381,3 +381,6 @@
         assert_eq!(self.shards.values().map(|shard| shard.nodes.len()).sum::<usize>(), self.nodes.len());
     }
 }
+
+#[cfg(test)]
+mod tests;
