--- a/lab/src/soak/nodes.rs
+++ b/lab/src/soak/nodes.rs
@@ -6,11 +6,14 @@
 use mio::{Interest, Registry, Token};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use socket2::{Domain, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 use topazpath::resp::{self, Value};
 
+/// Connections that a node's kernel lets in before they are accepted.
+const BACKLOG: i32 = 128;
 /// An answer with a value and nothing else.
 const SERVED: &[u8] = b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
 const FAILED: &[u8] = b"-ERR failed\r\n";
@@ -26,8 +29,15 @@
     Down,
 }
 
+/// Where a node is reached.
+enum Place {
+    Listens(TcpListener),
+    /// A port that refuses, and is nobody else's.
+    Dead(#[expect(dead_code, reason = "it holds the port")] Socket),
+}
+
 struct Node {
-    listener: Option<TcpListener>,
+    place: Place,
     address: SocketAddr,
     trouble: Option<(Trouble, Instant)>,
 }
@@ -65,12 +75,24 @@
     ) -> std::io::Result<Self> {
         let mut nodes = Vec::with_capacity(count);
         for number in 0..count {
-            let mut listener = TcpListener::bind(SocketAddr::from((host, 0)))?;
-            let address = listener.local_addr()?;
-            registry.register(&mut listener, token(number), Interest::READABLE)?;
-            // A closed listener refuses; its port stays this run's own by chance alone.
-            let listener = (!dead.contains(&number)).then_some(listener);
-            nodes.push(Node { listener, address, trouble: None });
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+            socket.bind(&SocketAddr::from((host, 0)).into())?;
+            let address = socket.local_addr()?.as_socket().ok_or(std::io::ErrorKind::InvalidInput)?;
+            let place = if dead.contains(&number) {
+                Place::Dead(socket)
+            } else {
+                socket.listen(BACKLOG)?;
+                socket.set_nonblocking(true)?;
+                let mut listener = TcpListener::from_std(socket.into());
+                registry.register(&mut listener, token(number), Interest::READABLE)?;
+                Place::Listens(listener)
+            };
+            nodes.push(Node { place, address, trouble: None });
+        }
+        let addresses: BTreeSet<SocketAddr> = nodes.iter().map(|node: &Node| node.address).collect();
+        if addresses.len() < count {
+            // What is meant for one would be taken to have come to another.
+            return Err(std::io::Error::other("two stand-in nodes have one address"));
         }
         let (conns, due, recoveries) = (HashMap::new(), BTreeMap::new(), BTreeSet::new());
         Ok(Nodes { nodes, conns, due, recoveries, sequence: 0, service, attempts: Vec::new(), accepted: 0 })
@@ -115,7 +137,8 @@
     pub fn accept(&mut self, node: usize, registry: &Registry, mut token: impl FnMut() -> Token) {
         // Left in the queue, what they write would seem to begin when it is read at last.
         let is_down = matches!(self.nodes[node].trouble, Some((Trouble::Down, _)));
-        while let Some(Ok((stream, _))) = self.nodes[node].listener.as_ref().map(TcpListener::accept) {
+        let Place::Listens(listener) = &self.nodes[node].place else { return };
+        while let Ok((stream, _)) = listener.accept() {
             let token = token();
             if let Ok(wire) = Wire::new(stream, token, registry) {
                 self.accepted += 1;
