Connections are read until a read finds nothing

Change: only a read that finds nothing ends the reading; what a connection was told of its end has no use any more. src/conn/tests.rs fails with the shortcut.

--- a/src/conn.rs
+++ b/src/conn.rs
@@ -57,15 +57,13 @@
     written: usize,
     /// Something of what is to be written has gone out.
     begun: bool,
-    /// Whether the far side has ended its sending, where the owner passes on what is told of that.
-    ending: Option<bool>,
 }
 
 impl Conn {
     pub fn new(mut stream: TcpStream, token: Token, registry: &Registry) -> std::io::Result<Self> {
         registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
         let (input, output) = (Vec::new(), VecDeque::new());
-        Ok(Conn { stream, input, output, unwritten: 0, written: 0, begun: false, ending: None })
+        Ok(Conn { stream, input, output, unwritten: 0, written: 0, begun: false })
     }
 
     pub fn connect(address: SocketAddr, token: Token, registry: &Registry) -> std::io::Result<Self> {
@@ -88,34 +86,10 @@
         }
     }
 
-    /// Passes on what was told when the connection became ready: whether the far side has ended its sending, or the
-    /// connection broke. Whoever passes on every such word saves a read that finds nothing.
-    pub fn told(&mut self, ends: bool) {
-        self.ending = Some(ends || self.ending == Some(true));
-    }
-
-    /// Reads what is there, until `limit` bytes lie unconsumed. A read that gave less than there was room for has taken
-    /// all: what comes after it is told anew, and so is an end that comes after it. One that came before was told
-    /// together with what was read.
+    /// Reads what is there, until `limit` bytes lie unconsumed. Only a read that finds nothing says that there is no
+    /// more: one may give less than there is (POSIX, `read`), and readiness is told once.
     pub fn read(&mut self, limit: usize) -> ReadEnd {
-        ARRIVING.with_borrow_mut(|arriving| loop {
-            let room = limit.saturating_sub(self.input.len()).min(READ_BYTES);
-            if room == 0 {
-                return ReadEnd::Paused;
-            }
-            match self.stream.read(&mut arriving[..room]) {
-                Ok(0) => return ReadEnd::Closed,
-                Ok(count) => {
-                    self.input.extend_from_slice(&arriving[..count]);
-                    if count < room && self.ending == Some(false) {
-                        return ReadEnd::Blocked;
-                    }
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return ReadEnd::Blocked,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return ReadEnd::Broken,
-            }
-        })
+        read_all(&mut self.stream, &mut self.input, limit)
     }
 
     /// Takes off what was consumed. Guards against connections that keep the room of their largest message.
@@ -185,3 +159,23 @@
         Ok(())
     }
 }
+
+/// Appends to `input` what a stream has, until `limit` bytes lie there.
+fn read_all(stream: &mut impl Read, input: &mut Vec<u8>, limit: usize) -> ReadEnd {
+    ARRIVING.with_borrow_mut(|arriving| loop {
+        let room = limit.saturating_sub(input.len()).min(READ_BYTES);
+        if room == 0 {
+            return ReadEnd::Paused;
+        }
+        match stream.read(&mut arriving[..room]) {
+            Ok(0) => return ReadEnd::Closed,
+            Ok(count) => input.extend_from_slice(&arriving[..count]),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return ReadEnd::Blocked,
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return ReadEnd::Broken,
+        }
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -527,7 +527,7 @@
                         self.take_list(now, news, kind);
                     }
                 }
-                _ => self.targets.told(now, id, ends),
+                _ => self.targets.ready(now, id),
             },
         }
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -232,7 +232,6 @@
             }
             return self.drop_client(id, core);
         }
-        client.conn.told(ends);
         client.arrivals.told(self.came);
         client.used = now;
         if self.heard < MOST_HEARD && !client.queued {
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -436,13 +436,8 @@
         }
     }
 
-    /// Something happened on a connection, and whether its far side has ended.
-    pub fn told(&mut self, now: Instant, id: usize, ends: bool) {
-        self.conns.get_mut(&id).into_iter().for_each(|target| target.conn.told(ends));
-        self.ready(now, id);
-    }
-
-    fn ready(&mut self, now: Instant, id: usize) {
+    /// Something happened on a connection.
+    pub fn ready(&mut self, now: Instant, id: usize) {
         let Some(target) = self.conns.get_mut(&id) else { return };
         if target.attempt.is_some() && target.begin_by <= now && !target.all_written() {
             // The connection comes up late, the node reads slowly, or this process was kept from its work since.
--- a/src/target/tests.rs
+++ b/src/target/tests.rs
@@ -59,7 +59,7 @@
     fn turn(&mut self, now: Instant) {
         let mut events = Events::with_capacity(8);
         self.poll.poll(&mut events, Some(PATIENCE)).unwrap();
-        events.iter().for_each(|event| self.targets.told(now, event.token().0, event.is_read_closed()));
+        events.iter().for_each(|event| self.targets.ready(now, event.token().0));
     }
 
     fn answer(&mut self, now: Instant, stream: &mut TcpStream) {
@@ -156,7 +156,7 @@
                 came += count;
                 let mut events = Events::with_capacity(8);
                 bench.poll.poll(&mut events, Some(Duration::ZERO)).unwrap();
-                events.iter().for_each(|event| bench.targets.told(end, event.token().0, false));
+                events.iter().for_each(|event| bench.targets.ready(end, event.token().0));
             }
         }
         assert_eq!(bench.targets.ended[0].1.outcome, Outcome::NotConnected, "by timer {by_timer}");
