--- a/lab/src/capacity/tests.rs
+++ b/lab/src/capacity/tests.rs
@@ -338,7 +338,7 @@
 
 #[test]
 fn a_scene_that_does_not_hold_ends_the_command_with_another_code() {
-    assert!(scenes_hold(&Value::Null), "no such run");
-    assert!(scenes_hold(&serde_json::json!({ "scenes": [{ "name": "rest", "holds": true }] })));
-    assert!(!scenes_hold(&serde_json::json!({ "scenes": [{ "holds": true }, { "holds": false }] })));
+    assert!(super::scenes_hold(&serde_json::Value::Null), "no such run");
+    assert!(super::scenes_hold(&serde_json::json!({ "scenes": [{ "name": "rest", "holds": true }] })));
+    assert!(!super::scenes_hold(&serde_json::json!({ "scenes": [{ "holds": true }, { "holds": false }] })));
 }
