--- a/lab/src/capacity/decision.rs
+++ b/lab/src/capacity/decision.rs
@@ -90,6 +90,11 @@
 }
 
 impl World {
+    /// Nodes that the scheduler has looked at so far.
+    pub fn nodes_visited(&self) -> u64 {
+        self.scheduler.nodes_visited()
+    }
+
     /// With the whole list known.
     pub fn new(setup: Setup) -> Self {
         let mut world = World {
