--- a/lab/src/capacity/decision.rs
+++ b/lab/src/capacity/decision.rs
@@ -91,6 +91,7 @@
 
 impl World {
     /// Nodes that the scheduler has looked at so far.
+    #[cfg(test)]
     pub fn nodes_visited(&self) -> u64 {
         self.scheduler.nodes_visited()
     }
