--- a/lab/src/soak/tests.rs
+++ b/lab/src/soak/tests.rs
@@ -21,3 +21,12 @@
         assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
     }
 }
+
+/// Found by the soak: a crowd fills the descriptors, and a request waits for a second where it is not accepted yet.
+#[test]
+fn time_before_a_connection_is_accepted_counts() {
+    let _alone = processor::alone();
+    let options = Options { seed: 129, seeds: 1, short: false, plan: false, json: false };
+    let breaches = play(options.seed, &options).unwrap();
+    assert!(breaches.is_empty(), "{breaches:#?}");
+}
