--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -34,6 +34,8 @@
     Drains(arguments::Common),
     /// Seeded faults against the real process: signals in series, drains, hangs, resets, slow discovery, crowds.
     Soak(soak::Options),
+    /// Crowds of idle connections, in waves: what nodes are told, late answers, and clients in service.
+    Crowds(soak::crowds::Options),
     /// Settings drawn at random, each played in virtual time: every rule is checked on what was seen.
     Settings(settings::command::Options),
     /// Membership among real processes that are stopped, cut, killed and lied to.
@@ -75,6 +77,7 @@
         Command::Load(options) => load::run(&options),
         Command::Drains(arguments) => drains::run(&arguments),
         Command::Soak(options) => soak::run(&options),
+        Command::Crowds(options) => soak::crowds::run(&options),
         Command::Settings(options) => settings::command::run(&options),
         Command::Fleet(arguments) => membership::processes::run(&arguments),
         Command::FleetScript(options) => membership::script::run(&options),
--- a/lab/src/soak/checker/tests.rs
+++ b/lab/src/soak/checker/tests.rs
@@ -15,8 +15,15 @@
     fn new() -> Self {
         let start = Instant::now();
         let end = Some((start + ms(500), End::Answered { served: true }));
-        let request =
-            Request { id: "a".into(), kind: Kind::Read, sent: start, waits: ms(1_000), reused: false, end };
+        let request = Request {
+            id: "a".into(),
+            kind: Kind::Read,
+            sent: start,
+            waits: ms(1_000),
+            reused: false,
+            up: None,
+            end,
+        };
         let attempt = Attempt { id: "a".into(), node: 3, begun: start + ms(10), left: ms(980) };
         let history = History {
             requests: vec![request],
--- a/lab/src/soak/clients.rs
+++ b/lab/src/soak/clients.rs
@@ -17,8 +17,6 @@
 const NEW_OBJECTS: f64 = 0.3;
 /// Part of the requests that are writes.
 const WRITES: f64 = 0.4;
-/// Part of the requests that come on a connection of their own.
-const NEW_CONNECTIONS: f64 = 0.15;
 
 struct Conn {
     wire: Wire,
@@ -31,6 +29,8 @@
     address: SocketAddr,
     shards: usize,
     waits: [Duration; 2],
+    /// Part of the requests that come on a connection of their own.
+    new_connections: f64,
     conns: HashMap<Token, Conn>,
     idle: Vec<Token>,
     /// When clients give up.
@@ -39,9 +39,9 @@
 }
 
 impl Clients {
-    pub fn new(address: SocketAddr, shards: usize, waits: [Duration; 2]) -> Self {
+    pub fn new(address: SocketAddr, shards: usize, waits: [Duration; 2], new_connections: f64) -> Self {
         let (conns, idle, patience) = (HashMap::new(), Vec::new(), BTreeMap::new());
-        Clients { address, shards, waits, conns, idle, patience, requests: Vec::new() }
+        Clients { address, shards, waits, new_connections, conns, idle, patience, requests: Vec::new() }
     }
 
     /// Opens connections that say `bytes` and no more.
@@ -76,7 +76,7 @@
         let waits = self.waits[usize::from(kind == Kind::Write)];
         let id = format!("{:016x}", random.random::<u64>());
         let command = command(&id, kind, shard, waits, random);
-        let reuses = !opens || !random.random_bool(NEW_CONNECTIONS);
+        let reuses = !opens || !random.random_bool(self.new_connections);
         let rested = reuses.then(|| self.idle.pop()).flatten();
         let reused = rested.is_some();
         let Some(token) = rested.or_else(|| {
@@ -91,7 +91,15 @@
         conn.wire.write(&command);
         conn.open = Some(self.requests.len());
         self.patience.insert((now + waits + GIVES_UP_AFTER, self.requests.len()), token);
-        self.requests.push(Request { id, kind, sent: Instant::now(), waits, reused, end: None });
+        self.requests.push(Request {
+            id,
+            kind,
+            sent: Instant::now(),
+            waits,
+            reused,
+            up: reused.then_some(now),
+            end: None,
+        });
     }
 
     /// Part of the clients with open requests close their connections.
@@ -108,6 +116,9 @@
     pub fn ready(&mut self, token: Token) {
         let Some(conn) = self.conns.get_mut(&token) else { return };
         let is_over = conn.wire.ready();
+        if let Some(open) = conn.open.filter(|_| conn.wire.was_up()) {
+            self.requests[open].up.get_or_insert_with(Instant::now);
+        }
         match resp::parse(&conn.wire.input) {
             Ok(Some((value, length))) => {
                 conn.wire.input.drain(..length);
--- a/lab/src/soak/history.rs
+++ b/lab/src/soak/history.rs
@@ -38,6 +38,8 @@
     pub waits: Duration,
     /// It came on a connection that had rested.
     pub reused: bool,
+    /// When its client saw that its connection is up.
+    pub up: Option<Instant>,
     pub end: Option<(Instant, End)>,
 }
 
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -3,6 +3,8 @@
 
 mod checker;
 mod clients;
+mod crowd;
+pub mod crowds;
 mod history;
 mod nodes;
 pub mod plan;
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -13,6 +13,8 @@
 const SIZES_SHORT: [usize; 4] = [12, 60, 200, 800];
 /// The longest time that a process may be held up at once.
 const LONGEST_HOLD: u64 = 150;
+/// Part of the requests that come on a connection of their own, as a rule.
+const NEW_CONNECTIONS: f64 = 0.15;
 /// Faults of one run.
 const FAULTS: std::ops::RangeInclusive<usize> = 3..=7;
 
@@ -41,6 +43,8 @@
     ClientsLeave { share: f64 },
     /// The process is stopped and goes on, several times.
     Hold { times: usize, each: Duration, pause: Duration },
+    /// So many idle connections are opened at once.
+    Crowd { count: usize },
     /// SIGHUP several times in quick succession.
     Reload { times: usize, pause: Duration },
 }
@@ -54,6 +58,8 @@
     /// Initiators that the settings name; one of them is real.
     pub initiators: u32,
     pub requests_per_second: f64,
+    /// Part of the requests that come on a connection of their own.
+    pub new_connections: f64,
     /// Deadlines of reads and writes.
     pub deadlines: [Duration; 2],
     /// Connections that are opened, say nothing or little, and stay.
@@ -91,6 +97,7 @@
             nodes,
             initiators: *[1, 3, 10, 300].choose(&mut random).unwrap_or(&3),
             requests_per_second: random.random_range(10.0..80.0),
+            new_connections: NEW_CONNECTIONS,
             deadlines: [read, write],
             crowd: if random.random_bool(0.3) { random.random_range(20..200) } else { 0 },
             half_said: random.random_range(0..4),
@@ -109,6 +116,7 @@
             nodes,
             initiators: 300,
             requests_per_second: 20.0,
+            new_connections: NEW_CONNECTIONS,
             deadlines: [ms(2_000), ms(3_000)],
             crowd: 0,
             half_said: 0,
@@ -120,6 +128,12 @@
         }
     }
 
+    /// Whether idle clients may fill the descriptors.
+    pub fn is_crowded(&self) -> bool {
+        let waves = self.faults.iter().any(|(_, fault)| matches!(fault, Fault::Crowd { .. }));
+        self.crowd > 0 || waves
+    }
+
     /// From SIGTERM to SIGKILL, the earliest that the pages allow: the longest deadline, of which 3 s count, and 0.7 s.
     pub fn grace(&self) -> Duration {
         self.deadlines[0].max(self.deadlines[1]).min(ms(3_000)) + ms(700)
--- a/lab/src/soak/rig.rs
+++ b/lab/src/soak/rig.rs
@@ -1,6 +1,7 @@
 //! One run: the real process between stand-ins that all live on one thread, so that what they saw has one clock.
 
 use super::clients::Clients;
+use super::crowd::Crowd;
 use super::history::{History, Listing};
 use super::nodes::{Nodes, Trouble};
 use super::plan::{Fault, Plan};
@@ -81,6 +82,7 @@
     registry: Registry,
     nodes: Nodes,
     clients: Clients,
+    crowd: Crowd,
     steps: BTreeMap<(Instant, usize), Step>,
     history: History,
     stopped: Option<Instant>,
@@ -117,12 +119,13 @@
         poll.registry().register(&mut discovery, REGISTRY, Interest::READABLE).map_err(told)?;
         let address = discovery.local_addr().map_err(told)?;
         let process = Process::start(plan, address, &registry.known())?;
-        let clients = Clients::new(process.listen, plan.nodes, plan.deadlines);
+        let clients = Clients::new(process.listen, plan.nodes, plan.deadlines, plan.new_connections);
+        let crowd = Crowd::start(process.listen);
         let now = Instant::now();
         let history = History {
             grace: super::process::DRAIN_GRACE,
             window: super::process::WINDOW,
-            crowded: plan.crowd > 0,
+            crowded: plan.is_crowded(),
             descriptors: (0, plan.descriptors),
             ..History::default()
         };
@@ -136,6 +139,7 @@
             registry,
             nodes,
             clients,
+            crowd,
             steps: BTreeMap::new(),
             history,
             stopped: None,
@@ -287,6 +291,7 @@
                 let nodes = self.draw_nodes(share);
                 self.nodes.drop_idle(&nodes);
             }
+            Fault::Crowd { count } => self.crowd.wave(count),
             Fault::ClientsLeave { share } => self.clients.leave(share, &mut self.random),
             Fault::Hold { times, each, pause } => {
                 (0..times as u32)
--- a/lab/src/soak/tests.rs
+++ b/lab/src/soak/tests.rs
@@ -30,3 +30,15 @@
     let breaches = play(options.seed, &options).unwrap();
     assert!(breaches.is_empty(), "{breaches:#?}");
 }
+
+/// Four waves of 1,500 idle connections against 256 descriptors, at rest and held up again and again, while half of the
+/// requests come on new connections.
+#[test]
+fn a_crowd_makes_no_request_older_than_it_is_told_to_be() {
+    let _alone = processor::alone();
+    for held_up in [false, true] {
+        let scene = crowds::Scene { crowd: 1_500, descriptors: 256, held_up };
+        let outcome = processor::steady(|| crowds::play(&scene, 1).unwrap());
+        assert!(outcome.holds(), "{scene:?}: {outcome:#?}");
+    }
+}
