Fronts: the accept queue is emptied at once, and what waited there is as old as its bytes

Cause: a newcomer without a place made the loop wait (20 ms at a time, 50 ms for a place of a silent client) with the processor at rest, and a client's time counted from its accept. Its age comes from TCP_INFO, never beyond the moment the queue was last known to be empty. Idle connections are kept in the order of use, so a newcomer costs no walk over clients.

--- a/src/control/endpoint.rs
+++ b/src/control/endpoint.rs
@@ -2,8 +2,8 @@
 
 use super::{parse, reply, Call, LONGEST_LINE};
 use crate::conn::Conn;
-use mio::net::TcpListener;
-use mio::{Interest, Registry, Token};
+use crate::listener::{Accepted, Listener, Pending};
+use mio::{Registry, Token};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -28,7 +28,7 @@
 
 /// Where operators call.
 pub struct AdminEndpoint {
-    listener: TcpListener,
+    listener: Listener,
     /// In the order they came: tokens only grow.
     callers: BTreeMap<usize, Caller>,
     knocked: bool,
@@ -36,9 +36,9 @@
 
 impl AdminEndpoint {
     /// Callers come in by this listener.
-    pub fn open(listener: TcpListener, token: Token, registry: &Registry) -> std::io::Result<Self> {
+    pub fn open(listener: Listener, token: Token, registry: &Registry) -> std::io::Result<Self> {
         let mut endpoint = AdminEndpoint { listener, callers: BTreeMap::new(), knocked: true };
-        registry.register(&mut endpoint.listener, token, Interest::READABLE)?;
+        endpoint.listener.register(token, registry)?;
         Ok(endpoint)
     }
 
@@ -48,15 +48,15 @@
     }
 
     /// For another process.
-    pub fn listener(&self) -> &TcpListener {
-        &self.listener
+    pub fn listener(&self) -> &mio::net::TcpListener {
+        self.listener.socket()
     }
 
     /// Lets callers in, or leaves them to another process that has the same listener.
     pub fn accept_callers(&mut self, yes: bool, token: Token, registry: &Registry) {
         let changed = match yes {
-            true => registry.register(&mut self.listener, token, Interest::READABLE),
-            false => registry.deregister(&mut self.listener),
+            true => self.listener.register(token, registry),
+            false => self.listener.deregister(registry),
         };
         if let Err(error) = changed {
             tracing::warn!("the admin endpoint's listener: {error}");
@@ -87,7 +87,7 @@
     ) -> Vec<(usize, Call)> {
         let mut calls = Vec::new();
         for _ in 0..if std::mem::take(&mut self.knocked) { MOST_ACCEPTED } else { 0 } {
-            let Ok((stream, _)) = self.listener.accept() else { break };
+            let Pending::Connection(Accepted { stream, .. }) = self.listener.accept() else { break };
             // Guards callers against those that hold connections and say nothing.
             while self.callers.len() >= MOST_CALLERS {
                 self.callers.pop_first();
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -14,8 +14,9 @@
 use crate::discovery::{self, Discovery, News};
 use crate::fleet;
 use crate::flow::{Budget, WINDOW};
-use crate::front::{iscsi, listen, resp, Front, Room};
+use crate::front::{iscsi, resp, Front, Room};
 use crate::interface::{Event, ListKind, Outcome};
+use crate::listener::Listener;
 use crate::nodes::Nodes;
 use crate::pace::Pace;
 use crate::placement::Placement;
@@ -127,7 +128,8 @@
         let mut listen = |at: Place, address: SocketAddr| {
             // A port that the system chooses is another one each time.
             let before = before.as_mut().filter(|_| address.port() != 0);
-            before.and_then(|before| before.listener(at)).map_or_else(|| listen(address), Ok)
+            let inherited = before.and_then(|before| before.listener(at));
+            inherited.map_or_else(|| Listener::open(address), |socket| Ok(Listener::adopt(socket, None)))
         };
         let poll = Poll::new().map_err(|error| format!("poll: {error}"))?;
         let (clock, now) = (Clock::start(), Instant::now());
--- a/src/forwarder/reports.rs
+++ b/src/forwarder/reports.rs
@@ -1,12 +1,28 @@
 //! What `INFO` shows of the loop: sizes, what turns took, and why requests were answered with no.
 
 use super::Forwarder;
+use crate::listener::QueueFigures;
 use std::time::{Duration, Instant};
 
 /// The part of `INFO` about turns, and how often it is renewed.
 const TURNS_REPORT: &str = "turns";
 const REPORT_EVERY: Duration = Duration::from_millis(250);
 
+/// Names of the figures of an accept queue: its length, its limit, the greatest length seen, dropped handshakes.
+const ACCEPT_QUEUE: [&str; 4] =
+    ["accept_queue", "accept_queue_limit", "accept_queue_longest", "accept_queue_drops"];
+const ISCSI_ACCEPT_QUEUE: [&str; 4] = [
+    "iscsi_accept_queue",
+    "iscsi_accept_queue_limit",
+    "iscsi_accept_queue_longest",
+    "iscsi_accept_queue_drops",
+];
+
+fn accept_queue_rows(figures: QueueFigures, names: [&'static str; 4]) -> [(&'static str, u64); 4] {
+    let values = [figures.length, figures.limit, figures.longest, figures.drops];
+    std::array::from_fn(|at| (names[at], u64::from(values[at])))
+}
+
 impl Forwarder {
     /// How many there are of what `INFO` shows: a count that only grows would end a long day.
     pub(super) fn count(&mut self) {
@@ -36,7 +52,11 @@
             ("denied_too_many_queued", denials.too_many_queued),
             ("denied_not_repeatable", denials.not_repeatable),
         ];
-        let figures: Vec<(&str, u64)> = self.turns.figures().into_iter().chain(reasons).collect();
+        let queues = accept_queue_rows(self.resp.accept_queue(), ACCEPT_QUEUE).into_iter().chain(
+            self.iscsi.iter().flat_map(|front| accept_queue_rows(front.accept_queue(), ISCSI_ACCEPT_QUEUE)),
+        );
+        let figures: Vec<(&str, u64)> =
+            self.turns.figures().into_iter().chain(reasons).chain(queues).collect();
         let lines = figures.iter().map(|(name, value)| format!("{name}:{value}\r\n")).collect();
         let json =
             serde_json::Map::from_iter(figures.iter().map(|(name, value)| ((*name).into(), (*value).into())));
--- a/src/front/answers.rs
+++ b/src/front/answers.rs
@@ -116,6 +116,8 @@
             && self.protocol.is_idle(&client.session)
         {
             self.part(now, id);
+            return;
         }
+        self.note_idle(id);
     }
 }
--- a/src/front/client.rs
+++ b/src/front/client.rs
@@ -1,6 +1,7 @@
 //! One client of a front.
 
 use super::arrivals::Arrivals;
+use super::idle::Place;
 use crate::conn::Conn;
 use crate::flow::Grant;
 use std::time::Instant;
@@ -32,6 +33,8 @@
     pub paused: bool,
     /// It waits in the backlog.
     pub queued: bool,
+    /// Its place among those that could be closed.
+    pub idle: Option<Place>,
     /// Since when nothing more is read; it is closed once all is written.
     pub closing: Option<Instant>,
 }
@@ -55,6 +58,7 @@
             arrivals: Arrivals::default(),
             paused: false,
             queued: false,
+            idle: None,
             closing: None,
         }
     }
--- a/src/front/endpoints.rs
+++ b/src/front/endpoints.rs
@@ -2,48 +2,29 @@
 
 use super::client::Client;
 use super::protocol::Protocol;
+use super::room::Admission;
 use super::Front;
 use crate::conn::Conn;
+use crate::core::Core;
 use crate::interface::RequestId;
-use mio::net::{TcpListener, TcpStream};
-use mio::{Interest, Registry, Token};
-use std::io::ErrorKind;
+use crate::listener::{Accepted, Listener, Pending, QueueFigures};
+use mio::net::TcpStream;
+use mio::{Registry, Token};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Connections that the kernel may have let in before they are accepted.
 const MOST_WAITING: usize = 1024;
-/// Connections accepted at one endpoint in one turn of the loop.
-const MOST_ACCEPTED: usize = 64;
-/// How soon a newcomer is looked for again where there is no room.
-const ROOM_PAUSE: Duration = Duration::from_millis(20);
-/// How long an address may still be another's at the start, and how often it is tried.
-const BIND_PATIENCE: Duration = Duration::from_secs(2);
-const BIND_PAUSE: Duration = Duration::from_millis(10);
-
-/// Listens at an address. Guards against a restart that comes while the process before still lets the last clients
-/// in: the address is free again soon.
-///
-/// # Errors
-///
-/// The address can't be bound, or is still taken after two seconds.
-pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let start = Instant::now();
-    loop {
-        match TcpListener::bind(address) {
-            Err(error) if error.kind() == ErrorKind::AddrInUse && start.elapsed() < BIND_PATIENCE => {
-                std::thread::sleep(BIND_PAUSE);
-            }
-            other => return other,
-        }
-    }
-}
+/// How long newcomers are let in at one endpoint in one turn of the loop.
+const ACCEPT_SLICE: Duration = Duration::from_millis(5);
+/// How soon newcomers are looked for again where the system lacks what they take.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// One address that clients come in by. The first is the machine's own; others belong to addresses that move
 /// between machines.
 pub(super) struct Endpoint {
     /// None while the address is not here.
-    pub listener: Option<TcpListener>,
+    pub listener: Option<Listener>,
     /// The address is another machine's: its clients here are answered what they have open, and nothing is taken.
     pub retired: bool,
 }
@@ -73,8 +54,8 @@
         registry: &Registry,
         now: Instant,
     ) -> std::io::Result<()> {
-        let mut listener = TcpListener::from_std(listener);
-        registry.register(&mut listener, token, Interest::READABLE)?;
+        let mut listener = Listener::adopt(mio::net::TcpListener::from_std(listener), Some(now));
+        listener.register(token, registry)?;
         self.endpoints[endpoint] = Endpoint { listener: Some(listener), retired: false };
         self.knock(now);
         Ok(())
@@ -96,9 +77,9 @@
             {
                 break;
             }
-            let accepted = self.endpoints[endpoint].listener.as_ref().map(TcpListener::accept);
-            let Some(Ok((stream, _))) = accepted else { break };
-            self.admit(now, stream, endpoint, true, next(), registry);
+            let listener = self.endpoints[endpoint].listener.as_mut();
+            let Some(Pending::Connection(accepted)) = listener.map(Listener::accept) else { break };
+            self.admit(now, (accepted.stream, accepted.came), endpoint, true, next(), registry);
         }
         self.endpoints[endpoint] = Endpoint { listener: None, retired: true };
     }
@@ -110,71 +91,119 @@
     }
 
     /// The machine's own listener, for another process.
-    pub fn listener(&self) -> Option<&TcpListener> {
-        self.endpoints[0].listener.as_ref()
+    pub fn listener(&self) -> Option<&mio::net::TcpListener> {
+        self.endpoints[0].listener.as_ref().map(Listener::socket)
+    }
+
+    /// The accept queue of the machine's own listener.
+    pub fn accept_queue(&self) -> QueueFigures {
+        self.endpoints[0].listener.as_ref().map(Listener::figures).unwrap_or_default()
     }
 
     /// Lets newcomers in at the machine's own address, or leaves them to another process that has the same listener.
     pub fn accept_newcomers(&mut self, yes: bool, token: Token, registry: &Registry, now: Instant) {
         let Some(listener) = &mut self.endpoints[0].listener else { return };
         let changed = match yes {
-            true => registry.register(listener, token, Interest::READABLE),
-            false => registry.deregister(listener),
+            true => listener.register(token, registry),
+            false => listener.deregister(registry),
         };
         if let Err(error) = changed {
             tracing::warn!("the listener: {error}");
         }
+        // The other process may have left some there.
+        listener.forget_age();
         (self.accepts, self.accept_at) = (yes, yes.then_some(now));
     }
 
     /// Newcomers wait.
     pub fn knock(&mut self, now: Instant) {
+        let came = self.came;
+        self.endpoints.iter_mut().filter_map(|it| it.listener.as_mut()).for_each(|it| it.ready(came));
         self.accept_at = Some(now);
     }
 
-    /// Takes new connections. Guards against running out of descriptors: past the limit the client that was silent
-    /// or idle for longest makes room; with none idle newcomers are let in only to be declined at once, since a
-    /// request left in the kernel would get no answer at all.
-    pub(super) fn accept(&mut self, now: Instant, registry: &Registry, mut next: impl FnMut() -> Token) {
+    /// Takes new connections, as fast as the processor lets it. Guards those that wait to be accepted: their clients' time
+    /// runs, so that whoever can't be served is told to come again or is closed, and keeps nobody behind it waiting.
+    pub(super) fn accept(
+        &mut self,
+        now: Instant,
+        registry: &Registry,
+        mut next: impl FnMut() -> Token,
+        core: &mut Core,
+    ) {
         if self.accept_at.is_none_or(|at| at > now) {
             return;
         }
         // Guards the endpoints from one another: each has its part of a turn.
-        let mut more = false;
-        for endpoint in 0..self.endpoints.len() {
-            let mut left = MOST_ACCEPTED;
-            while left > 0 {
-                left -= 1;
-                while self.clients.len() >= self.room.clients && self.close_an_idle_one(now, true) {}
-                if self.clients.len() >= self.room.clients + self.room.crowd {
-                    self.accept_at = Some(now + ROOM_PAUSE);
-                    return;
+        let again = (0..self.endpoints.len())
+            .filter_map(|endpoint| self.accept_at_endpoint(now, endpoint, registry, &mut next, core))
+            .min();
+        self.accept_at = again;
+    }
+
+    /// Takes new connections at one endpoint; when to go on, if some are left.
+    fn accept_at_endpoint(
+        &mut self,
+        now: Instant,
+        endpoint: usize,
+        registry: &Registry,
+        next: &mut impl FnMut() -> Token,
+        core: &mut Core,
+    ) -> Option<Instant> {
+        if endpoint == 0 && !self.accepts {
+            return None;
+        }
+        self.endpoints[endpoint].listener.as_mut()?.inspect(now);
+        let begun = Instant::now();
+        while begun.elapsed() < ACCEPT_SLICE {
+            if self.defers_newcomers() {
+                return Some(now);
+            }
+            match self.endpoints[endpoint].listener.as_mut()?.accept() {
+                Pending::Connection(accepted) => {
+                    self.take_newcomer(now, accepted, endpoint, registry, next, core)
                 }
-                let accepted =
-                    self.endpoints[endpoint].listener.as_ref().filter(|_| self.accepts || endpoint > 0);
-                match accepted.map(TcpListener::accept) {
-                    Some(Ok((stream, _))) => {
-                        let crowded = self.clients.len() >= self.room.clients;
-                        self.admit(now, stream, endpoint, crowded, next(), registry);
-                    }
-                    Some(Err(error)) if error.kind() != ErrorKind::WouldBlock => {
-                        tracing::warn!("accept: {error}");
-                        self.accept_at = Some(now + ROOM_PAUSE);
-                        return;
-                    }
-                    _ => break,
+                Pending::Empty => return None,
+                Pending::Failed(error) => {
+                    tracing::warn!("accept: {error}");
+                    return Some(now + RETRY_PAUSE);
                 }
-                more |= left == 0;
             }
         }
-        self.accept_at = more.then_some(now);
+        Some(now)
+    }
+
+    /// Serves a newcomer, lets it in to be told to come again, or closes it unread.
+    fn take_newcomer(
+        &mut self,
+        now: Instant,
+        Accepted { stream, came, has_sent }: Accepted,
+        endpoint: usize,
+        registry: &Registry,
+        next: &mut impl FnMut() -> Token,
+        core: &mut Core,
+    ) {
+        let crowded = match self.admission(now) {
+            Admission::Served => false,
+            Admission::Declined => true,
+            Admission::Shut => {
+                core.counters.clients_shut += 1;
+                return;
+            }
+        };
+        let token = next();
+        self.admit(now, (stream, came), endpoint, crowded, token, registry);
+        if has_sent {
+            self.queue(token.0);
+        }
     }
 
-    /// Takes a connection for a new client. One that has broken by now is let go of.
+    /// Takes a connection for a new client, of whom nothing had come before an instant. One that has broken by now is let
+    /// go of.
     pub(super) fn admit(
         &mut self,
         now: Instant,
-        stream: TcpStream,
+        (stream, came): (TcpStream, Instant),
         endpoint: usize,
         crowded: bool,
         token: Token,
@@ -184,9 +213,9 @@
         let _ = stream.set_nodelay(true);
         if let Ok(conn) = Conn::new(stream, token, registry) {
             let mut client = Client::new(conn, self.protocol.session(), endpoint, crowded, now);
-            // What it has said may have come with it.
-            client.arrivals.told(self.came);
+            client.arrivals.told(came);
             self.clients.insert(token.0, client);
+            self.note_idle(token.0);
         }
     }
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -5,6 +5,7 @@
 mod arrivals;
 mod client;
 mod endpoints;
+mod idle;
 pub mod iscsi;
 mod leaving;
 mod protocol;
@@ -15,17 +16,18 @@
 use crate::clock::Clock;
 use crate::conn::ReadEnd;
 use crate::core::Core;
+use crate::listener::Listener;
 use crate::service::Standing;
 use client::Client;
 use endpoints::Endpoint;
+use idle::IdleOrder;
 use leaving::Leaving;
-use mio::net::{TcpListener, TcpStream};
-use mio::{Interest, Registry, Token};
+use mio::net::TcpStream;
+use mio::{Registry, Token};
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-pub use endpoints::listen;
 pub use protocol::{Closing, Declined, Intake, Protocol};
 pub use room::Room;
 
@@ -56,6 +58,8 @@
     accepts: bool,
     /// When newcomers are to be looked for; none are known of otherwise.
     accept_at: Option<Instant>,
+    /// Those of the clients that could be closed.
+    idle: IdleOrder,
     /// Clients that have said something, in the order they did: those that were not heard yet, or not to the end.
     backlog: VecDeque<usize>,
     /// Clients heard in this turn.
@@ -82,13 +86,13 @@
     /// The system does not let the listener be watched.
     pub fn new(
         protocol: P,
-        mut listener: TcpListener,
+        mut listener: Listener,
         token: Token,
         registry: &Registry,
         clock: Clock,
         room: Room,
     ) -> std::io::Result<Self> {
-        registry.register(&mut listener, token, Interest::READABLE)?;
+        listener.register(token, registry)?;
         let (clients, backlog) = (FxHashMap::default(), VecDeque::new());
         let endpoints = vec![Endpoint { listener: Some(listener), retired: false }];
         let standing = Standing { yes: true, keeps_idle: false, shed_from: None, hands_over: false };
@@ -102,6 +106,7 @@
             standing,
             accepts,
             accept_at,
+            idle: IdleOrder::default(),
             backlog,
             heard: 0,
             came: next_sweep,
@@ -179,7 +184,8 @@
         registry: &Registry,
         core: &mut Core,
     ) {
-        self.admit(now, stream, 0, self.clients.len() >= self.room.clients, token, registry);
+        let crowded = self.clients.len() >= self.room.clients;
+        self.admit(now, (stream, now), 0, crowded, token, registry);
         if let Some(client) = self.clients.get_mut(&token.0) {
             client.conn.input = input;
             self.ready(now, token.0, core);
@@ -195,7 +201,7 @@
         }
         self.heard = 0;
         self.leaving.turn(now);
-        self.accept(now, registry, next);
+        self.accept(now, registry, next, core);
         if self.next_sweep <= now {
             self.next_sweep = now + SWEEP;
             self.sweep(now, core);
@@ -246,6 +252,7 @@
         if !std::mem::replace(&mut client.queued, true) {
             self.backlog.push_back(id);
         }
+        self.note_idle(id);
     }
 
     /// Goes on with a client's connection.
@@ -335,6 +342,7 @@
 
     fn remove(&mut self, id: usize) -> Option<Client<P::Session>> {
         let client = self.clients.remove(&id)?;
+        self.idle.move_to(id, client.idle, None);
         self.kept -= client.kept;
         Some(client)
     }
--- a/src/front/room.rs
+++ b/src/front/room.rs
@@ -1,5 +1,6 @@
 //! How much a front's clients may take up, and who makes room for newcomers.
 
+use super::idle::{Idle, Place};
 use super::protocol::Protocol;
 use super::Front;
 use std::time::{Duration, Instant};
@@ -10,6 +11,8 @@
 pub(super) const SILENT_BEFORE_ROOM: Duration = Duration::from_millis(50);
 /// One that has begun to ask, and of whom nothing has come for this long.
 const STALLED_BEFORE_ROOM: Duration = Duration::from_millis(600);
+/// Part of the served clients' places that clients who never asked for anything may take from others, one in so many.
+const SILENT_PART: usize = 2;
 
 /// How much the clients of a front may take up.
 #[derive(Clone, Copy, Debug)]
@@ -26,6 +29,17 @@
     pub bytes: usize,
 }
 
+/// What is done with a newcomer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Admission {
+    /// It is served.
+    Served,
+    /// It is told to come again.
+    Declined,
+    /// There is no place for it: its connection is closed unread.
+    Shut,
+}
+
 impl<P: Protocol> Front<P> {
     /// Whether newcomers are only let in to be told to come again.
     pub fn is_crowded(&self) -> bool {
@@ -37,26 +51,80 @@
         self.room = room;
     }
 
+    /// Finds a place for a newcomer, and closes whom that takes. Nobody who was served goes for a newcomer while those that
+    /// never asked for anything hold more than their part: who opens connections by the hundred displaces its own.
+    pub(super) fn admission(&mut self, now: Instant) -> Admission {
+        while self.clients.len() >= self.room.clients {
+            let silent_have_too_much = self.idle.len(Idle::Silent) > self.room.clients / SILENT_PART;
+            let closed = match silent_have_too_much {
+                true => self.close_longest_silent(),
+                false => self.close_an_idle_one(now, true),
+            };
+            if !closed {
+                break;
+            }
+        }
+        if self.clients.len() < self.room.clients {
+            return Admission::Served;
+        }
+        if self.clients.len() < self.room.clients + self.room.crowd || self.close_longest_silent() {
+            return Admission::Declined;
+        }
+        Admission::Shut
+    }
+
+    /// Whether newcomers wait until those that were let in before them were heard, which makes room at once: requests of
+    /// whoever is one too many are only declined.
+    pub(super) fn defers_newcomers(&self) -> bool {
+        let full = self.clients.len() >= self.room.clients + self.room.crowd;
+        full && !self.backlog.is_empty() && self.idle.len(Idle::Silent) == 0
+    }
+
+    /// Closes the client that has said nothing for longest. It is owed no answer, and takes up none of the places of those
+    /// that are ended in order.
+    fn close_longest_silent(&mut self) -> bool {
+        let longest = self.idle.longest(Idle::Silent);
+        longest.is_some_and(|(_, id)| self.remove(id).is_some())
+    }
+
     /// Closes the client that makes room most easily, if any has to: first who has asked and is idle, and can come again
     /// at no cost; then, where there is no room at all, who never said anything; then who has begun to and does not go
     /// on. Guards those who take their time against those who never finish.
     pub(super) fn close_an_idle_one(&mut self, now: Instant, no_room: bool) -> bool {
-        let idle = self.clients.iter().filter_map(|(id, client)| {
-            let (asked, begun) = (self.protocol.has_asked(&client.session), client.partial.is_some());
-            let (rank, pause) = match (asked, begun) {
-                (_, true) => (2, STALLED_BEFORE_ROOM),
-                (true, _) => (0, IDLE_BEFORE_ROOM),
-                (false, _) => (1, SILENT_BEFORE_ROOM),
+        let waited = |idle: Idle, pause: Duration| {
+            self.idle.longest(idle).filter(|(since, _)| now.saturating_duration_since(*since) >= pause)
+        };
+        // Whoever cannot come again stays: after SIGTERM new connections go to another process.
+        let served = waited(Idle::Served, IDLE_BEFORE_ROOM).filter(|_| !self.standing.keeps_idle);
+        let asked = [waited(Idle::Probed, IDLE_BEFORE_ROOM), served].into_iter().flatten().min();
+        if let Some((_, id)) = asked {
+            return self.part(now, id);
+        }
+        if !no_room {
+            return false;
+        }
+        if waited(Idle::Silent, SILENT_BEFORE_ROOM).is_some() {
+            return self.close_longest_silent();
+        }
+        waited(Idle::Partial, STALLED_BEFORE_ROOM).is_some_and(|(_, id)| self.part(now, id))
+    }
+
+    /// Puts a client where it belongs among those that could be closed, after anything that happened to it.
+    pub(super) fn note_idle(&mut self, id: usize) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let (protocol, session) = (&self.protocol, &client.session);
+        // What a queued one has said is not read yet.
+        let stays = client.queued || client.conn.unwritten() > 0 || !protocol.makes_room(session);
+        let place: Option<Place> = (!stays).then(|| {
+            let idle = match (client.partial.is_some(), protocol.has_asked(session)) {
+                (true, _) => Idle::Partial,
+                (false, false) => Idle::Silent,
+                (false, true) if protocol.has_requested(session) => Idle::Served,
+                (false, true) => Idle::Probed,
             };
-            // Whoever cannot come again stays: after SIGTERM only others knock.
-            let stays = self.standing.keeps_idle && rank == 0 && self.protocol.has_requested(&client.session);
-            let waits =
-                now - client.used < pause || client.conn.unwritten() > 0 || (rank > 0 && !no_room) || stays;
-            // What it has said is not read yet.
-            let waits = waits || client.queued;
-            (!waits && self.protocol.makes_room(&client.session)).then_some((rank, client.used, *id))
+            (idle, client.used)
         });
-        let first = idle.min();
-        first.is_some_and(|(_, _, id)| self.part(now, id))
+        let before = std::mem::replace(&mut client.idle, place);
+        self.idle.move_to(id, before, place);
     }
 }
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -20,7 +20,7 @@
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let budget = crate::flow::Budget::new(0);
     let resp = resp::Resp { wire, retry_after: second, most_pending: 64, budget };
-    Front::new(resp, listen(any).unwrap(), Token(0), poll.registry(), clock, room).unwrap()
+    Front::new(resp, Listener::open(any).unwrap(), Token(0), poll.registry(), clock, room).unwrap()
 }
 
 #[test]
@@ -89,3 +89,94 @@
         assert_eq!(&answer, b"+PONG\r\n");
     }
 }
+
+/// A front for so many clients, with a client for each place that has said nothing.
+fn full_of_silent_clients(poll: &Poll, room: Room) -> (Front<resp::Resp>, Vec<std::net::TcpStream>, Core) {
+    let clock = Clock::start();
+    let mut front = front(poll, clock, room);
+    let mut core = Core::new(clock, Duration::from_secs(1));
+    let silent =
+        (0..room.clients).map(|_| std::net::TcpStream::connect(front.address().unwrap()).unwrap()).collect();
+    accept_until(&mut front, poll, &mut core, |front| front.len() >= room.clients);
+    (front, silent, core)
+}
+
+fn accept_until(
+    front: &mut Front<resp::Resp>,
+    poll: &Poll,
+    core: &mut Core,
+    done: impl Fn(&Front<resp::Resp>) -> bool,
+) {
+    let limit = Instant::now() + Duration::from_secs(20);
+    while !done(front) {
+        assert!(Instant::now() < limit, "{} clients", front.len());
+        let now = Instant::now();
+        let mut last = front.clients.keys().copied().max().unwrap_or(0);
+        front.begin_turn(now);
+        front.knock(now);
+        let next = || {
+            last += 16;
+            Token(last)
+        };
+        front.turn(now, poll.registry(), next, core);
+    }
+}
+
+const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
+
+/// Connects, asks, and waits for the answer.
+fn asked(front: &mut Front<resp::Resp>, poll: &Poll, core: &mut Core) -> std::net::TcpStream {
+    let mut client = std::net::TcpStream::connect(front.address().unwrap()).unwrap();
+    client.write_all(PING).unwrap();
+    let ids: Vec<usize> = front.clients.keys().copied().collect();
+    accept_until(front, poll, core, |front| {
+        front.clients.iter().any(|(id, it)| !ids.contains(id) && it.session_asked())
+    });
+    client
+}
+
+impl Client<<resp::Resp as Protocol>::Session> {
+    fn session_asked(&self) -> bool {
+        // PING is answered at once, so that the connection rests.
+        matches!(self.idle, Some((idle::Idle::Probed, _)))
+    }
+}
+
+#[test]
+fn who_says_nothing_makes_room_and_who_was_answered_stays() {
+    let poll = Poll::new().unwrap();
+    let room = Room { easy: 20, clients: 20, crowd: 4, leaving: 4, bytes: 1 << 20 };
+    let (mut front, _silent, mut core) = full_of_silent_clients(&poll, room);
+    let served: Vec<_> = (0..6).map(|_| asked(&mut front, &poll, &mut core)).collect();
+    let ids: Vec<usize> =
+        front.clients.iter().filter(|(_, it)| it.session_asked()).map(|(id, _)| *id).collect();
+    assert_eq!(ids.len(), served.len(), "each found a place at once");
+    // A wave of newcomers, while those that were answered have rested for long.
+    std::thread::sleep(Duration::from_millis(300));
+    let address = front.address().unwrap();
+    let wave: Vec<_> = (0..100).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
+    let newest = ids.iter().max().copied().unwrap() + 16 * wave.len();
+    accept_until(&mut front, &poll, &mut core, |front| front.clients.keys().any(|id| *id >= newest));
+    assert!(ids.iter().all(|id| front.clients.contains_key(id)), "a crowd closes no client in service");
+    assert!(front.len() <= room.clients + room.crowd);
+}
+
+#[test]
+fn a_client_that_waited_to_be_accepted_is_declined_once_half_of_its_time_is_over() {
+    let poll = Poll::new().unwrap();
+    let room = Room { easy: 4, clients: 4, crowd: 1, leaving: 1, bytes: 1 << 20 };
+    let (mut front, _silent, mut core) = full_of_silent_clients(&poll, room);
+    front.protocol_mut().wire.classes = vec!["c".into()];
+    front.protocol_mut().wire.deadlines = vec![Duration::from_secs(1)];
+    front.protocol_mut().wire.plans = vec!["t".into()];
+    let mut client = std::net::TcpStream::connect(front.address().unwrap()).unwrap();
+    let attributes = b"c=c,t=t,d=400,volume=0000000000000001,units=1,shard=0,hosts=1";
+    let words: [&[u8]; 4] = [b"OBJ.GET", b"0000000000000001", b"0000000000000002", attributes];
+    client.write_all(&crate::resp::command(&words)).unwrap();
+    let came = Instant::now();
+    std::thread::sleep(Duration::from_millis(260));
+    front.begin_turn(came);
+    front.knock(came);
+    accept_until(&mut front, &poll, &mut core, |_| came.elapsed() > Duration::from_millis(300));
+    assert_eq!((core.counters.read_late, core.counters.taken), (1, 0), "{:?}", core.counters);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod handover;
 pub mod interface;
 pub mod iscsi;
+mod listener;
 pub mod nodes;
 mod pace;
 mod placement;
--- /dev/null
+++ b/src/listener/mod.rs
@@ -0,0 +1,163 @@
+//! TCP listeners: how they are opened, and what is known of the connections in their accept queues.
+//!
+//! The kernel completes handshakes by itself and queues the connections until they are accepted. A client whose connection
+//! is in that queue believes that it is served: its time runs. [`Listener::accept`] therefore says of each connection since
+//! when its first bytes may have waited.
+
+mod queue;
+mod tcp_info;
+
+use mio::event::Source;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Interest, Registry, Token};
+use queue::AcceptQueue;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::os::fd::AsFd;
+use std::time::{Duration, Instant};
+use tcp_info::{listen_drops, TcpInfo};
+
+pub use queue::QueueFigures;
+
+/// How long an address may still be another's at the start, and how often it is tried.
+const BIND_PATIENCE: Duration = Duration::from_secs(2);
+const BIND_PAUSE: Duration = Duration::from_millis(10);
+/// Connections in a row that may have failed before they were accepted, until the others wait for the next turn.
+const MOST_FAILED: usize = 64;
+
+/// A connection that was accepted.
+pub struct Accepted {
+    /// The connection.
+    pub stream: TcpStream,
+    /// When what its client has sent so far came, at the earliest; the moment of its acceptance where nothing had come.
+    pub came: Instant,
+    /// Something of it waits to be read.
+    pub has_sent: bool,
+}
+
+/// What [`Listener::accept`] found.
+pub enum Pending {
+    /// A connection.
+    Connection(Accepted),
+    /// None is left.
+    Empty,
+    /// The system lacks what a connection takes: descriptors, buffers, memory. The queue is as it was.
+    Failed(std::io::Error),
+}
+
+/// A listener, with what is known of its accept queue.
+pub struct Listener {
+    socket: TcpListener,
+    queue: AcceptQueue,
+}
+
+impl Listener {
+    /// Listens at an address. Guards against a restart that comes while the process before still lets the last clients
+    /// in: the address is free again soon.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound, or is still taken after two seconds.
+    pub fn open(address: SocketAddr) -> std::io::Result<Listener> {
+        let start = Instant::now();
+        loop {
+            match TcpListener::bind(address) {
+                Err(error) if error.kind() == ErrorKind::AddrInUse && start.elapsed() < BIND_PATIENCE => {
+                    std::thread::sleep(BIND_PAUSE);
+                }
+                other => return Ok(Listener::adopt(other?, Some(start))),
+            }
+        }
+    }
+
+    /// Takes a listener that exists; nothing can have come to it before `since`, where that is known.
+    pub fn adopt(socket: TcpListener, since: Option<Instant>) -> Listener {
+        Listener { socket, queue: AcceptQueue::new(since) }
+    }
+
+    /// The socket itself, for another process.
+    pub fn socket(&self) -> &TcpListener {
+        &self.socket
+    }
+
+    /// Where it listens.
+    ///
+    /// # Errors
+    ///
+    /// The system does not say.
+    pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Watches it.
+    ///
+    /// # Errors
+    ///
+    /// The system does not let it be watched.
+    pub fn register(&mut self, token: Token, registry: &Registry) -> std::io::Result<()> {
+        self.socket.register(registry, token, Interest::READABLE)
+    }
+
+    /// Watches it no more.
+    ///
+    /// # Errors
+    ///
+    /// It was not watched.
+    pub fn deregister(&mut self, registry: &Registry) -> std::io::Result<()> {
+        self.socket.deregister(registry)
+    }
+
+    /// Connections may be pending, for as long as since then.
+    pub fn ready(&mut self, since: Instant) {
+        self.queue.ready(since);
+    }
+
+    /// Others have emptied the queue up to now, or nobody has: it is not known how long what is in it has waited.
+    pub fn forget_age(&mut self) {
+        self.queue.forget_age();
+    }
+
+    /// Looks at the queue, before its connections are accepted.
+    pub fn inspect(&mut self, now: Instant) {
+        if let Some(info) = TcpInfo::of(self.socket.as_fd()) {
+            self.queue.inspected(now, &info, listen_drops(self.socket.as_fd()));
+        }
+    }
+
+    /// What is known of the queue.
+    pub fn figures(&self) -> QueueFigures {
+        let info = TcpInfo::of(self.socket.as_fd());
+        self.queue.figures(info.map_or(0, |info| info.accept_queue_length()))
+    }
+
+    /// The next connection of the queue. One that broke while it was there is passed over.
+    pub fn accept(&mut self) -> Pending {
+        for _ in 0..MOST_FAILED {
+            match self.socket.accept() {
+                Ok((stream, _)) => {
+                    let now = Instant::now();
+                    let info = TcpInfo::of(stream.as_fd());
+                    let (came, has_sent) = self.queue.arrival(now, info.as_ref());
+                    return Pending::Connection(Accepted { stream, came, has_sent });
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.queue.emptied();
+                    return Pending::Empty;
+                }
+                Err(error) if is_lack(&error) => return Pending::Failed(error),
+                // accept(2): errors of the network that are pending on the new connection are told here.
+                Err(error) => tracing::debug!("a connection broke before it was accepted: {error}"),
+            }
+        }
+        Pending::Failed(ErrorKind::Interrupted.into())
+    }
+}
+
+/// Whether it is this machine that lacks something, so that the connection is still in the queue.
+fn is_lack(error: &std::io::Error) -> bool {
+    use nix::libc::{EINVAL, EMFILE, ENFILE, ENOBUFS, ENOMEM};
+    error.raw_os_error().is_some_and(|code| [EMFILE, ENFILE, ENOBUFS, ENOMEM, EINVAL].contains(&code))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/listener/tests.rs
@@ -0,0 +1,95 @@
+use super::queue::AcceptQueue;
+use super::*;
+use std::io::Write;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn listener() -> (Listener, SocketAddr) {
+    let listener = Listener::open(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+fn next(listener: &mut Listener) -> Accepted {
+    let limit = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < limit {
+        match listener.accept() {
+            Pending::Connection(accepted) => return accepted,
+            Pending::Empty => std::thread::sleep(ms(1)),
+            Pending::Failed(error) => panic!("{error}"),
+        }
+    }
+    panic!("nobody came");
+}
+
+#[test]
+fn what_waited_to_be_accepted_is_as_old_as_its_bytes() {
+    let (mut listener, address) = listener();
+    let before = Instant::now();
+    let mut early = std::net::TcpStream::connect(address).unwrap();
+    early.write_all(b"a request").unwrap();
+    let _silent = std::net::TcpStream::connect(address).unwrap();
+    let sent = Instant::now();
+    std::thread::sleep(ms(200));
+    let (first, second) = (next(&mut listener), next(&mut listener));
+    // The kernel counts in ticks, of 10 ms at most.
+    assert!(first.has_sent && first.came + ms(10) >= before && first.came <= sent, "as old as the bytes");
+    assert!(!second.has_sent && second.came >= sent + ms(200), "nothing has come that could be old");
+}
+
+#[test]
+fn the_queue_is_looked_at_without_being_emptied() {
+    let (mut listener, address) = listener();
+    let _clients: Vec<_> = (0..3).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
+    listener.inspect(Instant::now());
+    let figures = listener.figures();
+    assert_eq!((figures.length, figures.longest, figures.drops), (3, 3, 0));
+    assert!(figures.limit >= 3);
+    (0..3).for_each(|_| drop(next(&mut listener)));
+    assert_eq!((listener.figures().length, listener.figures().longest), (0, 3));
+}
+
+#[test]
+fn nothing_is_older_than_the_moment_the_queue_was_known_to_be_empty() {
+    let start = Instant::now();
+    let (found, now) = (start + ms(100), start + ms(150));
+    let mut queue = AcceptQueue::new(Some(start));
+    queue.emptied();
+    queue.ready(found);
+    queue.ready(now);
+    // The kernel's clock may tell more than this process has lived through.
+    let old = TcpInfo::planted(1, 5_000, 100, 0);
+    assert_eq!(queue.arrival(now, Some(&old)), (found, true));
+    assert_eq!(queue.arrival(now, None), (found, true), "where the system tells nothing, the earlier bound");
+    let fresh = TcpInfo::planted(1, 0, 100, 0);
+    let (came, _) = queue.arrival(now, Some(&fresh));
+    assert!(came >= found && came < now, "the kernel counts in ticks");
+    // The age of the last of several segments says little of the first.
+    let several = TcpInfo::planted(3, 0, 100, 0);
+    assert_eq!(queue.arrival(now, Some(&several)), (found, true));
+    queue.forget_age();
+    let (came, _) = queue.arrival(start + ms(6_000), Some(&old));
+    assert!(came <= start + ms(1_000), "others had the queue before");
+}
+
+#[test]
+fn handshakes_that_a_full_queue_dropped_began_earlier() {
+    let start = Instant::now();
+    let now = start + ms(2_000);
+    let mut queue = AcceptQueue::new(Some(start));
+    queue.emptied();
+    queue.ready(now);
+    let again = TcpInfo::planted(1, 0, 400_000, 0);
+    let again_by_server = TcpInfo::planted(1, 0, 100, 1);
+    assert_eq!(queue.arrival(now, Some(&again)).0, now, "a long way is no overflow");
+    queue.inspected(now, &TcpInfo::planted_queue(128, 128), 7);
+    assert_eq!(queue.figures(0), QueueFigures { length: 0, limit: 128, longest: 128, drops: 7 });
+    assert_eq!(queue.arrival(now, Some(&again)).0, now - ms(400));
+    assert_eq!(queue.arrival(now, Some(&again_by_server)).0, now - ms(1_000));
+    let later = now + ms(5_000);
+    queue.emptied();
+    queue.ready(later);
+    assert_eq!(queue.arrival(later, Some(&again)).0, later, "it was long ago");
+}
