--- a/src/listener/mod.rs
+++ b/src/listener/mod.rs
@@ -10,15 +10,21 @@
 use mio::event::Source;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
+use nix::sys::socket::{setsockopt, sockopt};
 use queue::AcceptQueue;
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
+use std::sync::Once;
 use std::time::{Duration, Instant};
 use tcp_info::{listen_drops, TcpInfo};
 
 pub use queue::QueueFigures;
 
+/// Connections that may wait to be accepted. More than that many handshakes of one moment are dropped by the kernel, and their
+/// clients try again after 0.2 s, 0.4 s, 1 s. Linux gives no more than `net.core.somaxconn`, which is 4096 unless changed.
+pub const ACCEPT_BACKLOG: u32 = 4096;
 /// How long an address may still be another's at the start, and how often it is tried.
 const BIND_PATIENCE: Duration = Duration::from_secs(2);
 const BIND_PAUSE: Duration = Duration::from_millis(10);
@@ -61,17 +67,22 @@
     pub fn open(address: SocketAddr) -> std::io::Result<Listener> {
         let start = Instant::now();
         loop {
-            match TcpListener::bind(address) {
+            match bind(address, Locality::Local) {
                 Err(error) if error.kind() == ErrorKind::AddrInUse && start.elapsed() < BIND_PATIENCE => {
                     std::thread::sleep(BIND_PAUSE);
                 }
-                other => return Ok(Listener::adopt(other?, Some(start))),
+                other => return Ok(Listener::adopt(TcpListener::from_std(other?), Some(start))),
             }
         }
     }
 
-    /// Takes a listener that exists; nothing can have come to it before `since`, where that is known.
+    /// Takes a listener that exists, also one that another process opened with a shorter queue; nothing can have come to it
+    /// before `since`, where that is known.
     pub fn adopt(socket: TcpListener, since: Option<Instant>) -> Listener {
+        if let Err(error) = SockRef::from(&socket).listen(ACCEPT_BACKLOG as i32) {
+            tracing::warn!("the accept queue stays as long as it was: {error}");
+        }
+        warn_if_short(&socket);
         Listener { socket, queue: AcceptQueue::new(since) }
     }
 
@@ -153,6 +164,53 @@
     }
 }
 
+/// Whether a listener's address has to be one of this machine's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Locality {
+    /// It has to be.
+    Local,
+    /// It may come later: one that moves between machines.
+    Any,
+}
+
+/// A listening socket that does not block.
+///
+/// # Errors
+///
+/// The address can't be bound.
+pub fn bind(address: SocketAddr, locality: Locality) -> std::io::Result<std::net::TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    // Guards against connections of an earlier process, or turn as Active, that are still in TIME-WAIT.
+    socket.set_reuse_address(true)?;
+    if locality == Locality::Any {
+        if address.is_ipv4() {
+            setsockopt(&socket, sockopt::IpFreebind, &true)?;
+        } else {
+            socket.set_only_v6(true)?;
+            socket.set_freebind_v6(true)?;
+        }
+    }
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(ACCEPT_BACKLOG as i32)?;
+    Ok(socket.into())
+}
+
+/// Says once if the system gives less than is asked for.
+fn warn_if_short(socket: &TcpListener) {
+    static SAID: Once = Once::new();
+    let Some(limit) = TcpInfo::of(socket.as_fd()).map(|info| info.accept_queue_limit()) else { return };
+    if limit < ACCEPT_BACKLOG {
+        SAID.call_once(|| {
+            tracing::warn!(
+                limit,
+                wanted = ACCEPT_BACKLOG,
+                "accept queues are short: raise net.core.somaxconn"
+            );
+        });
+    }
+}
+
 /// Whether it is this machine that lacks something, so that the connection is still in the queue.
 fn is_lack(error: &std::io::Error) -> bool {
     use nix::libc::{EINVAL, EMFILE, ENFILE, ENOBUFS, ENOMEM};
--- a/src/listener/tests.rs
+++ b/src/listener/tests.rs
@@ -51,6 +51,34 @@
     assert_eq!((listener.figures().length, listener.figures().longest), (0, 3));
 }
 
+/// A planner that 460 initiators reach at once after its restart, before it has accepted the first.
+#[test]
+fn a_crowd_that_comes_in_one_moment_loses_no_handshake() {
+    const INITIATORS: u32 = 460;
+    let (mut listener, address) = listener();
+    let clients: Vec<_> = (0..INITIATORS).map(|_| TcpStream::connect(address).unwrap()).collect();
+    let limit = Instant::now() + Duration::from_secs(10);
+    while listener.figures().length < INITIATORS && Instant::now() < limit {
+        std::thread::sleep(ms(1));
+    }
+    listener.inspect(Instant::now());
+    let figures = listener.figures();
+    assert_eq!((figures.length, figures.drops), (clients.len() as u32, 0));
+}
+
+#[test]
+fn a_listener_of_another_process_gets_the_longer_queue_too() {
+    let short = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    short.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    short.listen(8).unwrap();
+    let opened = Listener::open(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let mut adopted = Listener::adopt(TcpListener::from_std(short.into()), None);
+    adopted.inspect(Instant::now());
+    let wanted = TcpInfo::of(opened.socket().as_fd()).unwrap().accept_queue_limit();
+    assert_eq!(adopted.figures().limit, wanted);
+    assert!(wanted > 8);
+}
+
 #[test]
 fn nothing_is_older_than_the_moment_the_queue_was_known_to_be_empty() {
     let start = Instant::now();
--- a/src/planner/server.rs
+++ b/src/planner/server.rs
@@ -5,13 +5,14 @@
 use super::connection::{Connection, Role};
 use super::frame::{FromPlanner, OperatorReply, ToPlanner, SCHEMA};
 use crate::conn::{Conn, ReadEnd};
+use crate::listener::{Accepted, Listener, Pending};
 use crate::revisions::distribution::{ConnectionId, LONGEST_NAME};
 use crate::shares::deal;
 use crate::shares::planner::{Planner, Settings};
 use crate::shares::PlannerId;
 use crate::vrrp::machine::Role as ElectionRole;
 use crate::vrrp::speaker::Speaker;
-use mio::net::{TcpListener, UnixStream};
+use mio::net::UnixStream;
 use mio::{Events, Interest, Poll, Token};
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -41,7 +42,7 @@
     poll: Poll,
     config: Config,
     election: Speaker,
-    listener: TcpListener,
+    listener: Listener,
     connections: HashMap<usize, Connection>,
     /// By partition, where it leads.
     leads: Vec<Option<Planner>>,
@@ -76,8 +77,8 @@
             .map(|section| Configuration::start(&config.name, section, PEERS, started))
             .transpose()
             .map_err(|why| format!("configuration: {why}"))?;
-        let listener = TcpListener::bind(config.listen).and_then(|mut listener| {
-            poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+        let listener = Listener::open(config.listen).and_then(|mut listener| {
+            listener.register(LISTENER, poll.registry())?;
             Ok(listener)
         });
         let listener = listener.map_err(|error| format!("{}: {error}", config.listen))?;
@@ -205,7 +206,7 @@
     fn accept(&mut self, now: Instant) {
         self.knocked = false;
         for _ in 0..MOST_ACCEPTED {
-            let Ok((stream, _)) = self.listener.accept() else { return };
+            let Pending::Connection(Accepted { stream, .. }) = self.listener.accept() else { return };
             if self.connections.len() >= MOST_CONNECTIONS {
                 // Closed at once: it comes again after a pause of its own.
                 continue;
--- a/src/vrrp/address.rs
+++ b/src/vrrp/address.rs
@@ -3,8 +3,7 @@
 //! for: the loop goes on.
 
 use super::settings::Means;
-use nix::sys::socket::{setsockopt, sockopt};
-use socket2::{Domain, Protocol, Socket, Type};
+use crate::listener::{self, Locality};
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -13,8 +12,6 @@
 pub const PAUSE: Duration = Duration::from_millis(20);
 /// How long after a command that failed the next one is started.
 const AGAIN: Duration = Duration::from_millis(500);
-/// Connections that the kernel keeps until they are accepted.
-const BACKLOG: i32 = 1024;
 
 /// How far an address has come.
 #[derive(Debug)]
@@ -84,7 +81,9 @@
                 let listeners: Result<Vec<_>, _> = self
                     .listen
                     .iter()
-                    .map(|address| listen(*address).map_err(|error| format!("{address}: {error}")))
+                    .map(|address| {
+                        listener::bind(*address, Locality::Any).map_err(|error| format!("{address}: {error}"))
+                    })
                     .collect();
                 match listeners {
                     Ok(listeners) => {
@@ -195,22 +194,5 @@
     }
 }
 
-/// Listens at an address, also one that is not local yet.
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    // Guards against connections of an earlier turn as Active that are still in TIME-WAIT.
-    socket.set_reuse_address(true)?;
-    if address.is_ipv4() {
-        setsockopt(&socket, sockopt::IpFreebind, &true)?;
-    } else {
-        socket.set_only_v6(true)?;
-        socket.set_freebind_v6(true)?;
-    }
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/vrrp/address/tests.rs
+++ b/src/vrrp/address/tests.rs
@@ -53,9 +53,9 @@
     assert!(matches!(address.turn(now), Progress::Gone));
     address.take(now);
     let listeners = until(&mut address, here);
-    assert_eq!(nix::sys::socket::getsockopt(&listeners[0], sockopt::IpFreebind), Ok(true));
+    assert_eq!(nix::sys::socket::getsockopt(&listeners[0], nix::sys::socket::sockopt::IpFreebind), Ok(true));
     assert!(matches!(address.turn(now), Progress::Pending));
-    let six = listen("[::1]:0".parse().unwrap()).unwrap();
+    let six = listener::bind("[::1]:0".parse().unwrap(), Locality::Any).unwrap();
     assert!(socket2::SockRef::from(&six).freebind_v6().unwrap());
 }
 
