Pace: the pause between turns is measured, not taken for as long as it was to be

Callers: a request that came while a busy process was stopped in its pause counted as new, so a node could be told too much by the length of the stand-still. Cause: the pause was taken to have lasted as long as it was asked for, and a sleep goes on after SIGSTOP and SIGCONT. Why the mend holds: its length is measured, whatever made it longer. The new test fails without that line (seen).

--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -280,7 +280,9 @@
             let due = self.next_timer(now);
             let pause = pace.waits(now);
             if !pause.is_zero() {
+                let begun = Instant::now();
                 std::thread::sleep(pause);
+                pace.paused(begun.elapsed());
             }
             let wait = due.saturating_duration_since(Instant::now());
             match self.poll.poll(&mut events, Some(wait)) {
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -54,6 +54,11 @@
         self.pause
     }
 
+    /// The pause that was asked for took so long: longer where the process was stopped in it, and what came meanwhile waited.
+    pub fn paused(&mut self, took: Duration) {
+        self.pause = took;
+    }
+
     /// The wait was interrupted: whatever has come since the last turn may have waited.
     pub fn interrupted(&mut self) {
         self.stopped = true;
--- a/src/pace/tests.rs
+++ b/src/pace/tests.rs
@@ -44,6 +44,22 @@
     assert_eq!((later[8], turns.pace.pause), (Duration::ZERO, Duration::ZERO));
 }
 
+/// The pause of a busy loop is a sleep that goes on after SIGSTOP and SIGCONT, so nothing interrupts it: a request that came
+/// while the process was stopped in it was taken to have just come.
+#[test]
+fn a_process_that_was_stopped_in_its_pause_knows_how_long_what_came_has_waited() {
+    let mut turns = Turns::new();
+    for _ in 0..100 {
+        turns.turn(MS(40), Duration::ZERO);
+    }
+    turns.now += MS(40);
+    assert_eq!(turns.pace.waits(turns.now), MS(2));
+    turns.now += MS(150);
+    turns.pace.paused(MS(150));
+    turns.pace.woken(turns.now);
+    assert!(turns.pace.waited() >= MS(150), "{:?}", turns.pace.waited());
+}
+
 #[test]
 fn a_process_that_was_stopped_while_it_waited_doubts_itself() {
     let mut turns = Turns::new();
