Drains: the grace counts from the announcement, however late it is read

Cause: the grace counted from the turn that read the list. An operator's call that takes a target out counted the same way. Why the mend holds: both count from the earliest moment at which what is ready may have come, which the loop bounds each turn.

--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -101,6 +101,8 @@
     reload: UnixStream,
     tokens: Tokens,
     turns: Turns,
+    /// What is ready in this turn came at this moment at the earliest.
+    came: Instant,
     next_report: Instant,
 }
 
@@ -243,6 +245,7 @@
             reload,
             tokens,
             turns: Turns::new(now),
+            came: now,
             next_report: now,
         };
         if !forwarder.nodes.own().is_empty() {
@@ -297,9 +300,9 @@
             let late = pace.woken(now);
             self.core.is_late_by(late);
             self.report_turns(now);
-            let came = now.checked_sub(pace.waited()).unwrap_or(now);
-            self.resp.begin_turn(came);
-            self.iscsi.iter_mut().for_each(|front| front.begin_turn(came));
+            self.came = now.checked_sub(pace.waited()).unwrap_or(now);
+            self.resp.begin_turn(self.came);
+            self.iscsi.iter_mut().for_each(|front| front.begin_turn(self.came));
             self.answer_what_is_over(now);
             self.count();
             if let Some(addresses) = &mut self.addresses {
@@ -506,7 +509,8 @@
                 (Some(Kind::Discovery), _) => {
                     if let Some(news) = self.discovery.ready(now, token) {
                         let kind = news.message.kind();
-                        self.take_list(now, news, kind);
+                        // A drain's grace runs from its announcement, however late this loop reads it.
+                        self.take_list(self.came, news, kind);
                     }
                 }
                 _ => self.targets.ready(now, id),
@@ -546,9 +550,10 @@
         }
     }
 
-    fn take_list(&mut self, now: Instant, news: News, kind: ListKind) {
+    /// Takes a list that was announced at an instant.
+    fn take_list(&mut self, announced: Instant, news: News, kind: ListKind) {
         self.turns.spent_on(Work::Hearing);
-        let (event, gone) = self.nodes.take(now, news, kind);
+        let (event, gone) = self.nodes.take(announced, news, kind);
         tracing::trace!(?event, "node list");
         gone.into_iter().for_each(|node| self.targets.leave(node));
         self.close_draining(&event);
--- a/src/forwarder/operators.rs
+++ b/src/forwarder/operators.rs
@@ -38,12 +38,12 @@
             Call::Ready if self.state.phase() == Phase::Serving => return Ok("ready".into()),
             Call::Ready => return Err(format!("it takes no clients: {}", self.state.phase().name())),
             Call::DisableServer(name) => {
-                self.ban(now, unix, name, true)?;
+                self.ban(self.came, unix, name, true)?;
                 self.upgrade.tell_ban(name, unix, true);
                 return Ok(format!("{name} gets nothing more"));
             }
             Call::EnableServer(name) => {
-                self.ban(now, unix, name, false)?;
+                self.ban(self.came, unix, name, false)?;
                 self.upgrade.tell_ban(name, unix, false);
                 return Ok(format!("{name} may serve"));
             }
