Listeners: after an error of accept the queue is looked at again

Callers: an operator's call, or an initiator's link to its planner, that came while accept failed for want of descriptors waited until another one came, if ever. Cause: the admin endpoint and the planner took every error of accept for an empty queue, and readiness is notified once. Why the mend holds: src/listener is the one place that accepts. It passes over what broke, and tells an empty queue from what the machine lacks, which it looks for again after 20 ms; fronts, admin endpoint and planner go by its timer.

--- a/src/control/endpoint.rs
+++ b/src/control/endpoint.rs
@@ -31,13 +31,14 @@
     listener: Listener,
     /// In the order they came: tokens only grow.
     callers: BTreeMap<usize, Caller>,
-    knocked: bool,
+    /// Callers are let in here, and not by another process that has the same listener.
+    accepts: bool,
 }
 
 impl AdminEndpoint {
     /// Callers come in by this listener.
     pub fn open(listener: Listener, token: Token, registry: &Registry) -> std::io::Result<Self> {
-        let mut endpoint = AdminEndpoint { listener, callers: BTreeMap::new(), knocked: true };
+        let mut endpoint = AdminEndpoint { listener, callers: BTreeMap::new(), accepts: true };
         endpoint.listener.register(token, registry)?;
         Ok(endpoint)
     }
@@ -61,20 +62,22 @@
         if let Err(error) = changed {
             tracing::warn!("the admin endpoint's listener: {error}");
         }
-        self.knocked = yes;
+        self.listener.forget_age();
+        self.accepts = yes;
     }
 
-    /// Callers wait.
-    pub fn knock(&mut self) {
-        self.knocked = true;
+    /// Callers may wait since then.
+    pub fn knock(&mut self, since: Instant) {
+        self.listener.ready(since);
     }
 
     /// When [`AdminEndpoint::turn`] has something to do.
-    pub fn next_timer(&self) -> Option<Instant> {
+    pub fn next_timer(&self, now: Instant) -> Option<Instant> {
         let end = |caller: &Caller| {
             caller.answered.map_or(caller.since + PATIENCE, |answered| answered + LAST_WORDS)
         };
-        self.callers.values().map(end).min()
+        let accept_at = self.listener.accept_at(now).filter(|_| self.accepts);
+        self.callers.values().map(end).chain(accept_at).min()
     }
 
     /// Its part of a turn of the loop: lets callers in and closes who is slow. What was called is returned; each is
@@ -86,8 +89,18 @@
         mut next: impl FnMut() -> Token,
     ) -> Vec<(usize, Call)> {
         let mut calls = Vec::new();
-        for _ in 0..if std::mem::take(&mut self.knocked) { MOST_ACCEPTED } else { 0 } {
-            let Pending::Connection(Accepted { stream, .. }) = self.listener.accept() else { break };
+        for _ in 0..MOST_ACCEPTED {
+            if !self.accepts || !self.listener.is_due(now) {
+                break;
+            }
+            let Accepted { stream, .. } = match self.listener.accept() {
+                Pending::Connection(accepted) => accepted,
+                Pending::Empty => break,
+                Pending::Failed(error) => {
+                    tracing::warn!("the admin endpoint: accept: {error}");
+                    break;
+                }
+            };
             // Guards callers against those that hold connections and say nothing.
             while self.callers.len() >= MOST_CALLERS {
                 self.callers.pop_first();
@@ -98,7 +111,6 @@
                 // What it came with is read before the next one may send it away.
                 calls.extend(self.ready(now, token.0).map(|call| (token.0, call)));
             }
-            self.knocked = true;
         }
         let slow: Vec<usize> =
             self.callers.iter().filter(|(_, it)| now - it.since >= PATIENCE).map(|(id, _)| *id).collect();
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -422,7 +422,7 @@
         next = self.core.next_timer().map_or(next, |at| next.min(at));
         next = self.addresses.as_ref().map_or(next, |addresses| next.min(addresses.next_timer(now)));
         next = self.upgrade.next_timer().map_or(next, |at| next.min(at));
-        next = self.admin.as_ref().and_then(AdminEndpoint::next_timer).map_or(next, |at| next.min(at));
+        next = self.admin.as_ref().and_then(|admin| admin.next_timer(now)).map_or(next, |at| next.min(at));
         next = self.fleet.as_ref().and_then(|it| it.next_timer(now)).map_or(next, |at| next.min(at));
         next = self.fleet_again.map_or(next, |at| next.min(at));
         next = self.planners.as_ref().map_or(next, |planners| next.min(planners.next_timer()));
@@ -465,10 +465,10 @@
     fn gather(&mut self, now: Instant, token: Token, ends: bool) {
         match token {
             // Connections are accepted once all that is ready was looked at.
-            LISTENER => self.resp.knock(now),
+            LISTENER => self.resp.knock(),
             ISCSI_LISTENER => {
                 if let Some(front) = &mut self.iscsi {
-                    front.knock(now);
+                    front.knock();
                 }
             }
             // Read before all else in a turn.
@@ -494,13 +494,13 @@
             Token(id) => match (Kind::of(id), &mut self.iscsi) {
                 (Some(Kind::RespClient), _) => self.resp.told(now, id, ends, &mut self.core),
                 (Some(Kind::IscsiClient), Some(front)) => front.told(now, id, ends, &mut self.core),
-                (Some(Kind::RespListener), _) => self.resp.knock(now),
+                (Some(Kind::RespListener), _) => self.resp.knock(),
                 (Some(Kind::Planner), _) => {
                     if let Some(planners) = &mut self.planners {
                         planners.ready(now, token);
                     }
                 }
-                (Some(Kind::IscsiListener), Some(front)) => front.knock(now),
+                (Some(Kind::IscsiListener), Some(front)) => front.knock(),
                 (Some(Kind::Operator), _) => {}
                 (Some(Kind::Upgrade), _) => {
                     let heard = self.upgrade.ready(id);
--- a/src/forwarder/operators.rs
+++ b/src/forwarder/operators.rs
@@ -14,7 +14,7 @@
         let mut calls = Vec::new();
         for Token(id) in events.iter().map(|event| event.token()) {
             if Token(id) == ADMIN_LISTENER {
-                admin.knock();
+                admin.knock(self.came);
             } else if Kind::of(id) == Some(Kind::Operator) {
                 calls.extend(admin.ready(now, id).map(|call| (id, call)));
             }
--- a/src/front/endpoints.rs
+++ b/src/front/endpoints.rs
@@ -17,8 +17,6 @@
 const MOST_WAITING: usize = 1024;
 /// How long newcomers are let in at one endpoint in one turn of the loop.
 const ACCEPT_SLICE: Duration = Duration::from_millis(5);
-/// How soon newcomers are looked for again where the system lacks what they take.
-const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// One address that clients come in by. The first is the machine's own; others belong to addresses that move
 /// between machines.
@@ -57,7 +55,6 @@
         let mut listener = Listener::adopt(mio::net::TcpListener::from_std(listener), Some(now));
         listener.register(token, registry)?;
         self.endpoints[endpoint] = Endpoint { listener: Some(listener), retired: false };
-        self.knock(now);
         Ok(())
     }
 
@@ -112,14 +109,20 @@
         }
         // The other process may have left some there.
         listener.forget_age();
-        (self.accepts, self.accept_at) = (yes, yes.then_some(now));
+        listener.ready(now);
+        self.accepts = yes;
     }
 
     /// Newcomers wait.
-    pub fn knock(&mut self, now: Instant) {
+    pub fn knock(&mut self) {
         let came = self.came;
         self.endpoints.iter_mut().filter_map(|it| it.listener.as_mut()).for_each(|it| it.ready(came));
-        self.accept_at = Some(now);
+    }
+
+    /// When newcomers are to be looked for.
+    pub(super) fn accept_at(&self, now: Instant) -> Option<Instant> {
+        let others = self.endpoints.iter().skip(usize::from(!self.accepts));
+        others.filter_map(|endpoint| endpoint.listener.as_ref()?.accept_at(now)).min()
     }
 
     /// Takes new connections, as fast as the processor lets it. Guards those that wait to be accepted: their clients' time
@@ -131,17 +134,13 @@
         mut next: impl FnMut() -> Token,
         core: &mut Core,
     ) {
-        if self.accept_at.is_none_or(|at| at > now) {
-            return;
-        }
         // Guards the endpoints from one another: each has its part of a turn.
-        let again = (0..self.endpoints.len())
-            .filter_map(|endpoint| self.accept_at_endpoint(now, endpoint, registry, &mut next, core))
-            .min();
-        self.accept_at = again;
+        for endpoint in usize::from(!self.accepts)..self.endpoints.len() {
+            self.accept_at_endpoint(now, endpoint, registry, &mut next, core);
+        }
     }
 
-    /// Takes new connections at one endpoint; when to go on, if some are left.
+    /// Takes new connections at one endpoint. Some may be left for the next turn.
     fn accept_at_endpoint(
         &mut self,
         now: Instant,
@@ -149,28 +148,20 @@
         registry: &Registry,
         next: &mut impl FnMut() -> Token,
         core: &mut Core,
-    ) -> Option<Instant> {
-        if endpoint == 0 && !self.accepts {
-            return None;
-        }
-        self.endpoints[endpoint].listener.as_mut()?.inspect(now);
+    ) {
+        let listener = self.endpoints[endpoint].listener.as_mut();
+        let Some(listener) = listener.filter(|it| it.is_due(now)) else { return };
+        listener.inspect(now);
         let begun = Instant::now();
-        while begun.elapsed() < ACCEPT_SLICE {
-            if self.defers_newcomers() {
-                return Some(now);
-            }
-            match self.endpoints[endpoint].listener.as_mut()?.accept() {
-                Pending::Connection(accepted) => {
-                    self.take_newcomer(now, accepted, endpoint, registry, next, core)
-                }
-                Pending::Empty => return None,
-                Pending::Failed(error) => {
-                    tracing::warn!("accept: {error}");
-                    return Some(now + RETRY_PAUSE);
+        while begun.elapsed() < ACCEPT_SLICE && !self.defers_newcomers() {
+            match self.endpoints[endpoint].listener.as_mut().map(Listener::accept) {
+                Some(Pending::Connection(accepted)) => {
+                    self.take_newcomer(now, accepted, endpoint, registry, next, core);
                 }
+                Some(Pending::Failed(error)) => return tracing::warn!("accept: {error}"),
+                Some(Pending::Empty) | None => return,
             }
         }
-        Some(now)
     }
 
     /// Serves a newcomer, lets it in to be told to come again, or closes it unread.
@@ -198,7 +189,7 @@
         }
     }
 
-    /// Takes a connection for a new client, of whom nothing had come before an instant. One that has broken by now is let
+    /// Takes a connection for a new client, and when what it has sent came, if it has sent anything. One that has broken by now is let
     /// go of.
     pub(super) fn admit(
         &mut self,
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -56,8 +56,6 @@
     standing: Standing,
     /// Newcomers at the machine's own address are let in here.
     accepts: bool,
-    /// When newcomers are to be looked for; none are known of otherwise.
-    accept_at: Option<Instant>,
     /// Those of the clients that could be closed.
     idle: IdleOrder,
     /// Clients that have said something, in the order they did: those that were not heard yet, or not to the end.
@@ -96,7 +94,7 @@
         let (clients, backlog) = (FxHashMap::default(), VecDeque::new());
         let endpoints = vec![Endpoint { listener: Some(listener), retired: false }];
         let standing = Standing { yes: true, keeps_idle: false, shed_from: None, hands_over: false };
-        let (accepts, accept_at, next_sweep, kept) = (true, None, Instant::now(), 0);
+        let (accepts, next_sweep, kept) = (true, Instant::now(), 0);
         Ok(Front {
             protocol,
             endpoints,
@@ -105,7 +103,6 @@
             room,
             standing,
             accepts,
-            accept_at,
             idle: IdleOrder::default(),
             backlog,
             heard: 0,
@@ -136,7 +133,7 @@
         if !self.backlog.is_empty() {
             return now;
         }
-        let next = self.accept_at.map_or(self.next_sweep, |at| at.min(self.next_sweep));
+        let next = self.accept_at(now).map_or(self.next_sweep, |at| at.min(self.next_sweep));
         self.leaving.next_timer(now).map_or(next, |at| at.min(next))
     }
 
--- a/src/listener/mod.rs
+++ b/src/listener/mod.rs
@@ -28,6 +28,8 @@
 /// How long an address may still be another's at the start, and how often it is tried.
 const BIND_PATIENCE: Duration = Duration::from_secs(2);
 const BIND_PAUSE: Duration = Duration::from_millis(10);
+/// How soon connections are looked for again where the system lacks what they take.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Connections in a row that may have failed before they were accepted, until the others wait for the next turn.
 const MOST_FAILED: usize = 64;
 
@@ -51,10 +53,20 @@
     Failed(std::io::Error),
 }
 
+/// When connections are to be looked for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum NextAccept {
+    Now,
+    At(Instant),
+    WhenReady,
+}
+
 /// A listener, with what is known of its accept queue.
 pub struct Listener {
     socket: TcpListener,
     queue: AcceptQueue,
+    /// When connections are to be looked for.
+    next_accept: NextAccept,
 }
 
 impl Listener {
@@ -83,7 +95,7 @@
             tracing::warn!("the accept queue stays as long as it was: {error}");
         }
         warn_if_short(&socket);
-        Listener { socket, queue: AcceptQueue::new(since) }
+        Listener { socket, queue: AcceptQueue::new(since), next_accept: NextAccept::Now }
     }
 
     /// The socket itself, for another process.
@@ -121,6 +133,22 @@
     /// Connections may be pending, for as long as since then.
     pub fn ready(&mut self, since: Instant) {
         self.queue.ready(since);
+        self.next_accept = NextAccept::Now;
+    }
+
+    /// When [`Listener::accept`] may find a connection. Readiness is notified once, so that it is looked again after a
+    /// failure: connections that came before it would wait until the next one comes.
+    pub fn accept_at(&self, now: Instant) -> Option<Instant> {
+        match self.next_accept {
+            NextAccept::Now => Some(now),
+            NextAccept::At(at) => Some(at),
+            NextAccept::WhenReady => None,
+        }
+    }
+
+    /// Whether connections are to be looked for now.
+    pub fn is_due(&self, now: Instant) -> bool {
+        self.accept_at(now).is_some_and(|at| at <= now)
     }
 
     /// Others have emptied the queue up to now, or nobody has: it is not known how long what is in it has waited.
@@ -153,9 +181,13 @@
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.queue.emptied();
+                    self.next_accept = NextAccept::WhenReady;
                     return Pending::Empty;
                 }
-                Err(error) if is_lack(&error) => return Pending::Failed(error),
+                Err(error) if is_lack(&error) => {
+                    self.next_accept = NextAccept::At(Instant::now() + RETRY_PAUSE);
+                    return Pending::Failed(error);
+                }
                 // accept(2): errors of the network that are pending on the new connection are told here.
                 Err(error) => tracing::debug!("a connection broke before it was accepted: {error}"),
             }
--- a/src/listener/tests.rs
+++ b/src/listener/tests.rs
@@ -121,3 +121,29 @@
     queue.ready(later);
     assert_eq!(queue.arrival(later, Some(&again)).0, later, "it was long ago");
 }
+
+/// A listener's readiness is notified once. The admin endpoint and the planner took any error of accept for an empty queue:
+/// a call that had come while the process was out of descriptors waited until another one came, if ever.
+#[test]
+fn after_a_failure_the_queue_is_looked_at_again() {
+    let (mut listener, _) = listener();
+    // accept(2) fails from now on, as it does where descriptors are lacking.
+    SockRef::from(listener.socket()).shutdown(std::net::Shutdown::Both).unwrap();
+    let before = Instant::now();
+    assert!(matches!(listener.accept(), Pending::Failed(_)));
+    let again = listener.accept_at(before).expect("it is not given up");
+    assert!(again >= before + RETRY_PAUSE && again <= Instant::now() + RETRY_PAUSE);
+}
+
+#[test]
+fn an_empty_queue_is_not_looked_at_until_it_is_ready() {
+    let (mut listener, address) = listener();
+    assert!(matches!(listener.accept(), Pending::Empty));
+    assert_eq!(listener.accept_at(Instant::now()), None);
+    let _client = std::net::TcpStream::connect(address).unwrap();
+    let now = Instant::now();
+    listener.ready(now);
+    assert_eq!(listener.accept_at(now), Some(now));
+    next(&mut listener);
+    assert!(listener.is_due(now), "there may be more");
+}
--- a/src/planner/server.rs
+++ b/src/planner/server.rs
@@ -51,8 +51,6 @@
     started: Instant,
     next_token: usize,
     next_heartbeat: Instant,
-    /// Newcomers wait.
-    knocked: bool,
     /// Connections of which not all was read.
     unfinished: BTreeSet<usize>,
 }
@@ -97,7 +95,6 @@
             started,
             next_token: FIRST_FREE,
             next_heartbeat: started,
-            knocked: true,
             unfinished: BTreeSet::new(),
         })
     }
@@ -126,7 +123,7 @@
             for event in &events {
                 match event.token() {
                     ELECTION => {}
-                    LISTENER => self.knocked = true,
+                    LISTENER => self.listener.ready(now),
                     SIGNAL => {
                         self.election.shut_down(now);
                         return Ok(());
@@ -138,7 +135,7 @@
             for id in ready {
                 self.serve(now, id)?;
             }
-            if self.knocked {
+            if self.listener.is_due(now) {
                 self.accept(now);
             }
             if self.next_heartbeat <= now {
@@ -151,12 +148,13 @@
 
     /// How long nothing is due.
     fn wait(&self, now: Instant) -> Duration {
-        if self.knocked || !self.unfinished.is_empty() {
+        if !self.unfinished.is_empty() {
             return Duration::ZERO;
         }
         let election = self.election.next_timer(now);
         let configuration = self.configuration.as_ref().map(Configuration::next_timer);
-        let timers = [election, configuration].into_iter().flatten().chain([self.next_heartbeat]);
+        let accept = self.listener.accept_at(now);
+        let timers = [election, configuration, accept].into_iter().flatten().chain([self.next_heartbeat]);
         let next = timers.min().unwrap_or(now);
         next.saturating_duration_since(now).min(LONGEST_WAIT)
     }
@@ -204,9 +202,12 @@
 
     /// Lets newcomers in, some in each turn: a thousand that come at once do not keep the others waiting.
     fn accept(&mut self, now: Instant) {
-        self.knocked = false;
         for _ in 0..MOST_ACCEPTED {
-            let Pending::Connection(Accepted { stream, .. }) = self.listener.accept() else { return };
+            let Accepted { stream, .. } = match self.listener.accept() {
+                Pending::Connection(accepted) => accepted,
+                Pending::Empty => return,
+                Pending::Failed(error) => return tracing::warn!("accept: {error}"),
+            };
             if self.connections.len() >= MOST_CONNECTIONS {
                 // Closed at once: it comes again after a pause of its own.
                 continue;
@@ -218,7 +219,6 @@
                 self.connections.insert(self.next_token, Connection::new(conn, now));
             }
         }
-        self.knocked = true;
     }
 
     /// Something happened on a connection. Whoever says what can't be used is told so and closed, and costs no other one
