Fronts: a connection that is only writable has said nothing

Why the mend holds: a client that is only writable, with nothing held back for it, is not heard. It saves a read for each connection.

--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -454,7 +454,7 @@
         };
         for turn in 0..3 {
             for event in events.iter().filter(|event| rank(event.token()) == turn) {
-                self.gather(now, event.token(), event.is_read_closed() || event.is_error());
+                self.gather(now, event.token(), Ready::of(event));
             }
             for effect in self.core.drain_effects() {
                 self.carry_out(now, effect);
@@ -462,7 +462,7 @@
         }
     }
 
-    fn gather(&mut self, now: Instant, token: Token, ends: bool) {
+    fn gather(&mut self, now: Instant, token: Token, ready: Ready) {
         match token {
             // Connections are accepted once all that is ready was looked at.
             LISTENER => self.resp.knock(),
@@ -492,8 +492,14 @@
                 }
             }
             Token(id) => match (Kind::of(id), &mut self.iscsi) {
-                (Some(Kind::RespClient), _) => self.resp.told(now, id, ends, &mut self.core),
-                (Some(Kind::IscsiClient), Some(front)) => front.told(now, id, ends, &mut self.core),
+                (Some(Kind::RespClient), _) => match ready {
+                    Ready::Writable => self.resp.writable(now, id, &mut self.core),
+                    _ => self.resp.told(now, id, ready == Ready::Ends, &mut self.core),
+                },
+                (Some(Kind::IscsiClient), Some(front)) => match ready {
+                    Ready::Writable => front.writable(now, id, &mut self.core),
+                    _ => front.told(now, id, ready == Ready::Ends, &mut self.core),
+                },
                 (Some(Kind::RespListener), _) => self.resp.knock(),
                 (Some(Kind::Planner), _) => {
                     if let Some(planners) = &mut self.planners {
@@ -678,6 +684,29 @@
     }
 }
 
+/// What a connection is ready for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ready {
+    /// There is something to read.
+    Readable,
+    /// It takes more output, and that is all.
+    Writable,
+    /// The far side has ended its sending, or the connection broke.
+    Ends,
+}
+
+impl Ready {
+    fn of(event: &mio::event::Event) -> Ready {
+        if event.is_read_closed() || event.is_error() {
+            Ready::Ends
+        } else if event.is_readable() {
+            Ready::Readable
+        } else {
+            Ready::Writable
+        }
+    }
+}
+
 /// Takes off what signals have written; true if there was any.
 fn drained(signal: &mut UnixStream) -> bool {
     let mut bytes = [0; 64];
--- a/src/front/endpoints.rs
+++ b/src/front/endpoints.rs
@@ -76,7 +76,7 @@
             }
             let listener = self.endpoints[endpoint].listener.as_mut();
             let Some(Pending::Connection(accepted)) = listener.map(Listener::accept) else { break };
-            self.admit(now, (accepted.stream, accepted.came), endpoint, true, next(), registry);
+            self.admit(now, (accepted.stream, Some(accepted.came)), endpoint, true, next(), registry);
         }
         self.endpoints[endpoint] = Endpoint { listener: None, retired: true };
     }
@@ -183,7 +183,7 @@
             }
         };
         let token = next();
-        self.admit(now, (stream, came), endpoint, crowded, token, registry);
+        self.admit(now, (stream, has_sent.then_some(came)), endpoint, crowded, token, registry);
         if has_sent {
             self.queue(token.0);
         }
@@ -194,7 +194,7 @@
     pub(super) fn admit(
         &mut self,
         now: Instant,
-        (stream, came): (TcpStream, Instant),
+        (stream, came): (TcpStream, Option<Instant>),
         endpoint: usize,
         crowded: bool,
         token: Token,
@@ -204,7 +204,9 @@
         let _ = stream.set_nodelay(true);
         if let Ok(conn) = Conn::new(stream, token, registry) {
             let mut client = Client::new(conn, self.protocol.session(), endpoint, crowded, now);
-            client.arrivals.told(came);
+            if let Some(came) = came {
+                client.arrivals.told(came);
+            }
             self.clients.insert(token.0, client);
             self.note_idle(token.0);
         }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -182,7 +182,7 @@
         core: &mut Core,
     ) {
         let crowded = self.clients.len() >= self.room.clients;
-        self.admit(now, (stream, now), 0, crowded, token, registry);
+        self.admit(now, (stream, Some(now)), 0, crowded, token, registry);
         if let Some(client) = self.clients.get_mut(&token.0) {
             client.conn.input = input;
             self.ready(now, token.0, core);
@@ -223,6 +223,15 @@
         self.protocol.open(&client.session).into_iter().for_each(|request| core.end(request));
     }
 
+    /// A client's connection takes more output, and has nothing to read. Guards newcomers against silent clients: one that is
+    /// heard without having said anything would be taken for one that asks.
+    pub fn writable(&mut self, now: Instant, id: usize, core: &mut Core) {
+        let waits = |client: &Client<P::Session>| client.paused || client.conn.unwritten() > 0;
+        if self.clients.get(&id).is_none_or(waits) {
+            self.told(now, id, false, core);
+        }
+    }
+
     /// Something happened on a client's connection, and whether it has ended its sending. It is heard at once, or in its
     /// turn where many others are.
     pub fn told(&mut self, now: Instant, id: usize, ends: bool, core: &mut Core) {
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -180,3 +180,19 @@
     accept_until(&mut front, &poll, &mut core, |_| came.elapsed() > Duration::from_millis(300));
     assert_eq!((core.counters.read_late, core.counters.taken), (1, 0), "{:?}", core.counters);
 }
+
+/// A new connection is writable at once. Where more than a turn hears came together, those beyond it waited to be heard without
+/// having said anything, so that they kept their places and a client with a request was sent away ("BUSY 500" in the test of
+/// hundreds of silent connections, one run in two).
+#[test]
+fn a_connection_that_is_only_writable_is_still_a_silent_one() {
+    let poll = Poll::new().unwrap();
+    let count = MOST_HEARD + 20;
+    let room = Room { easy: count, clients: count, crowd: 1, leaving: 1, bytes: 1 << 20 };
+    let (mut front, _silent, mut core) = full_of_silent_clients(&poll, room);
+    let now = Instant::now();
+    let ids: Vec<usize> = front.clients.keys().copied().collect();
+    ids.iter().for_each(|id| front.writable(now, *id, &mut core));
+    assert_eq!(front.idle.len(idle::Idle::Silent), count);
+    asked(&mut front, &poll, &mut core);
+}
