--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -29,6 +29,9 @@
     /// So many seeds, one after another.
     #[arg(long, default_value_t = 1)]
     seeds: u64,
+    /// With crowds in waves, half of the requests on new connections, and signals in series around the end.
+    #[arg(long)]
+    extended: bool,
     /// Short runs and small fleets.
     #[arg(long)]
     short: bool,
@@ -50,7 +53,10 @@
 }
 
 fn play(seed: u64, options: &Options) -> Result<Vec<Breach>, String> {
-    let plan = Plan::draw(seed, options.short);
+    let plan = match options.extended {
+        true => Plan::draw_extended(seed, options.short),
+        false => Plan::draw(seed, options.short),
+    };
     if options.plan {
         println!("{plan:#?}");
     }
@@ -70,13 +76,14 @@
     }
     println!(
         "seed {seed}: {} nodes, {} faults, {} requests, {} served, {} attempts, {:.2} s of processor, the stand-ins \
-         stood still for {standstill:?}: {} breaches",
+         stood still for {standstill:?}, {} handshakes dropped: {} breaches",
         plan.nodes,
         plan.faults.len(),
         figures.requests,
         figures.served,
         figures.attempts,
         figures.processor.as_secs_f64(),
+        figures.overflows,
         breaches.len()
     );
     for breach in breaches.iter().take(MOST_PRINTED) {
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -15,6 +15,16 @@
 const LONGEST_HOLD: u64 = 150;
 /// Part of the requests that come on a connection of their own, as a rule.
 const NEW_CONNECTIONS: f64 = 0.15;
+/// Sets the draws of extended runs apart from the plain ones.
+const EXTENDED: u64 = 0x6578_7465_6e64;
+/// Part of the extended runs with a crowd, its waves at most, and its size at most: by the descriptors, and in all.
+const WITH_CROWD: f64 = 0.7;
+const MOST_WAVES: usize = 4;
+const MOST_CROWD: usize = 20;
+const LARGEST_CROWD: usize = 5_000;
+/// What follows SIGTERM at most, and how long after it.
+const MOST_END_SIGNALS: usize = 6;
+const END_SIGNALS_WITHIN: u64 = 3_000;
 /// Faults of one run.
 const FAULTS: std::ops::RangeInclusive<usize> = 3..=7;
 
@@ -76,6 +86,19 @@
     pub ends: Duration,
     /// Descriptors that the process may hold.
     pub descriptors: usize,
+    /// What follows the first SIGTERM, by how long after it.
+    pub end_signals: Vec<(Duration, EndSignal)>,
+}
+
+/// Something that happens to a process that was asked to end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum EndSignal {
+    /// SIGTERM once more.
+    Terminate,
+    /// SIGHUP.
+    Reload,
+    /// SIGSTOP, and SIGCONT so long after it.
+    Hold(Duration),
 }
 
 impl Plan {
@@ -106,9 +129,30 @@
             faults,
             ends,
             descriptors: *[256, 512, 1_024].choose(&mut random).unwrap_or(&512),
+            end_signals: Vec::new(),
         }
     }
 
+    /// The run of a seed with crowds in waves while half of the requests come on new connections, and with signals in series
+    /// around its end.
+    pub fn draw_extended(seed: u64, short: bool) -> Plan {
+        let mut plan = Plan::draw(seed, short);
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ EXTENDED);
+        plan.new_connections = 0.5;
+        if random.random_bool(WITH_CROWD) {
+            let count = (plan.descriptors * random.random_range(1..=MOST_CROWD)).min(LARGEST_CROWD);
+            // The last may come into the end of the process.
+            let last = plan.ends.as_millis() as u64 + 200;
+            let waves = random.random_range(1..=MOST_WAVES);
+            let wave = |_| (ms(random.random_range(500..last)), Fault::Crowd { count });
+            plan.faults.extend((0..waves).map(wave).collect::<Vec<_>>());
+            plan.faults.sort_by_key(|(at, _)| *at);
+        }
+        let signals = random.random_range(0..=MOST_END_SIGNALS);
+        plan.end_signals = (0..signals).map(|_| end_signal(&mut random)).collect();
+        plan
+    }
+
     /// A day without drawn faults for so many nodes: the same traffic at every size.
     pub fn of_size(seed: u64, nodes: usize, faults: Vec<(Duration, Fault)>, ends: Duration) -> Plan {
         Plan {
@@ -125,6 +169,7 @@
             faults,
             ends,
             descriptors: 512,
+            end_signals: Vec::new(),
         }
     }
 
@@ -140,6 +185,16 @@
     }
 }
 
+fn end_signal(random: &mut ChaCha8Rng) -> (Duration, EndSignal) {
+    let after = ms(random.random_range(1..END_SIGNALS_WITHIN));
+    let signal = match random.random_range(0..3) {
+        0 => EndSignal::Terminate,
+        1 => EndSignal::Reload,
+        _ => EndSignal::Hold(ms(random.random_range(20..LONGEST_HOLD))),
+    };
+    (after, signal)
+}
+
 fn fault(random: &mut ChaCha8Rng) -> Fault {
     let share = random.random_range(0.05..0.4);
     let lasts = ms(random.random_range(300..3_000));
--- a/lab/src/soak/rig.rs
+++ b/lab/src/soak/rig.rs
@@ -4,7 +4,7 @@
 use super::crowd::Crowd;
 use super::history::{History, Listing};
 use super::nodes::{Nodes, Trouble};
-use super::plan::{Fault, Plan};
+use super::plan::{EndSignal, Fault, Plan};
 use super::process::Process;
 use super::registry::Registry;
 use super::wire::Wire;
@@ -47,6 +47,7 @@
     Reload,
     Terminate,
     Kill,
+    TerminateAgain,
 }
 
 /// What a run came to.
@@ -70,6 +71,8 @@
     pub list_bytes: u64,
     /// From the start of the process until it let clients in.
     pub started_within: Duration,
+    /// Handshakes that full accept queues of this machine dropped in the run.
+    pub overflows: u64,
 }
 
 struct Rig<'a> {
@@ -89,6 +92,7 @@
     next_request: Instant,
     next_count: Instant,
     started_within: Duration,
+    overflows_before: u64,
 }
 
 /// Plays a plan.
@@ -102,6 +106,15 @@
     Ok(rig.finish())
 }
 
+/// How often an accept queue of this machine was full, as the kernel counts it; 0 where it does not say.
+fn listen_overflows() -> u64 {
+    let text = std::fs::read_to_string("/proc/net/netstat").unwrap_or_default();
+    let mut rows = text.lines().filter(|line| line.starts_with("TcpExt:"));
+    let (names, values) = (rows.next().unwrap_or_default(), rows.next().unwrap_or_default());
+    let mut pairs = names.split_whitespace().zip(values.split_whitespace());
+    pairs.find(|(name, _)| *name == "ListenOverflows").and_then(|(_, value)| value.parse().ok()).unwrap_or(0)
+}
+
 fn told(error: std::io::Error) -> String {
     error.to_string()
 }
@@ -146,6 +159,7 @@
             next_request: now,
             next_count: now,
             started_within: Duration::ZERO,
+            overflows_before: listen_overflows(),
         })
     }
 
@@ -262,9 +276,18 @@
                 self.history.holds.extend(since.map(|since| (since, Instant::now())));
             }
             Step::Reload => self.process.signal("HUP"),
+            Step::TerminateAgain => self.process.signal("TERM"),
             Step::Terminate => {
                 self.process.signal("TERM");
                 self.history.terminated = Some(now);
+                for (after, signal) in &self.plan.end_signals {
+                    let step = match signal {
+                        EndSignal::Terminate => Step::TerminateAgain,
+                        EndSignal::Reload => Step::Reload,
+                        EndSignal::Hold(lasts) => Step::Stop(*lasts),
+                    };
+                    self.schedule(now + *after, step);
+                }
                 self.schedule(now + self.plan.grace(), Step::Kill);
             }
             Step::Kill => {
@@ -352,6 +375,7 @@
             descriptors: history.descriptors.0,
             list_bytes: self.registry.written,
             started_within: self.started_within,
+            overflows: listen_overflows().saturating_sub(self.overflows_before),
         };
         Played { history, figures }
     }
--- a/lab/src/soak/tests.rs
+++ b/lab/src/soak/tests.rs
@@ -4,10 +4,13 @@
 /// Seeds of the short form: few enough for a minute, and each with another fleet.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
 
+const EXTENDED_SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
+
 #[test]
 fn a_seed_replays_the_same_plan() {
     for seed in 1..50 {
         assert_eq!(Plan::draw(seed, false), Plan::draw(seed, false));
+        assert_eq!(Plan::draw_extended(seed, false), Plan::draw_extended(seed, false));
     }
     assert_ne!(Plan::draw(1, false).faults, Plan::draw(2, false).faults);
 }
@@ -16,7 +19,17 @@
 fn seeded_faults_break_no_rule() {
     let _alone = processor::alone();
     for seed in SEEDS {
-        let options = Options { seed, seeds: 1, short: true, plan: false, json: false };
+        let options = Options { seed, seeds: 1, extended: false, short: true, plan: false, json: false };
+        let breaches = processor::steady(|| play(seed, &options).unwrap());
+        assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
+    }
+}
+
+#[test]
+fn crowds_in_waves_and_signals_in_series_break_no_rule() {
+    let _alone = processor::alone();
+    for seed in EXTENDED_SEEDS {
+        let options = Options { seed, seeds: 1, extended: true, short: true, plan: false, json: false };
         let breaches = processor::steady(|| play(seed, &options).unwrap());
         assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
     }
@@ -31,7 +44,7 @@
 #[test]
 fn time_before_a_connection_is_accepted_counts() {
     let _alone = processor::alone();
-    let options = Options { seed: 129, seeds: 1, short: false, plan: false, json: false };
+    let options = Options { seed: 129, seeds: 1, extended: false, short: false, plan: false, json: false };
     let breaches = play(options.seed, &options).unwrap();
     assert!(breaches.is_empty(), "{breaches:#?}");
 }
