--- a/lab/src/soak/tests.rs
+++ b/lab/src/soak/tests.rs
@@ -39,8 +39,8 @@
 ///
 /// The listener's queue held 128 connections, and the crowd came in one moment. Beyond the 128 the kernel drops handshakes in
 /// silence, and a client whose handshake was dropped tries again after 1.0 s: its time runs, and its request was served as if
-/// it had just come (a node was told 0.99 to 1.01 s too much). `ss -ltnm` showed the 128 and the drops of the listening socket;
-/// with 4,096 places the same seeds broke nothing.
+/// it had just come (a node was told 0.99 to 1.01 s too much). Issue 42 saw the 128 and the drops of the listening socket by
+/// `ss -ltnm`; with 4,096 places the same seeds broke nothing.
 #[test]
 fn time_before_a_connection_is_accepted_counts() {
     let _alone = processor::alone();
--- a/tests/net/lateness.rs
+++ b/tests/net/lateness.rs
@@ -64,7 +64,7 @@
 const GRACE_SLACK: Duration = Duration::from_millis(150);
 
 /// A drain counts from when it was announced, not from when this process came to read it. A process that was held up for
-/// 0.4 s sent to the last node of a shard until 1.26 s after the announcement, with a grace of 1 s: the grace counted from the
+/// 0.4 s sent to the last node of a shard until 1.25 s after the announcement, with a grace of 1 s: the grace counted from the
 /// turn that read the list.
 #[test]
 fn the_grace_of_a_drain_that_is_read_late_ends_no_later() {
