Fronts: a silent client that loses its place is told to come again

Cause: newcomers are taken at once since the accept queue is emptied without pauses, and each closed the client that had been silent for longest. So none ever found all places taken, and the places of those that are told to come again stayed empty: 76 clients and 12 descriptors of the process, 88, where the test waits for 90.

Change: who gives its place in service to a newcomer takes one of the crowd's, and is closed only where these are full. Clients in service are counted apart from the crowd; scarce places and the idle clients that are closed early go by that count.

--- a/src/front/endpoints.rs
+++ b/src/front/endpoints.rs
@@ -207,6 +207,7 @@
             if let Some(came) = came {
                 client.arrivals.told(came);
             }
+            self.crowded += usize::from(crowded);
             self.clients.insert(token.0, client);
             self.note_idle(token.0);
         }
--- a/src/front/idle.rs
+++ b/src/front/idle.rs
@@ -9,6 +9,8 @@
 pub(super) enum Idle {
     /// The client has not said anything yet.
     Silent,
+    /// The client has not said anything yet, and will be told to come again.
+    Crowded,
     /// The client has asked whether this process is there, and for nothing else.
     Probed,
     /// The client was served, and may come with its next request.
@@ -17,7 +19,7 @@
     Partial,
 }
 
-const KINDS: usize = 4;
+const KINDS: usize = 5;
 
 /// A connection's place in the order: what it waits for, and since when.
 pub(super) type Place = (Idle, Instant);
--- a/src/front/idle/tests.rs
+++ b/src/front/idle/tests.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-const ALL: [Idle; KINDS] = [Idle::Silent, Idle::Probed, Idle::Served, Idle::Partial];
+const ALL: [Idle; KINDS] = [Idle::Silent, Idle::Crowded, Idle::Probed, Idle::Served, Idle::Partial];
 
 proptest! {
     /// Drawn moves, held against a walk over all connections.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -56,6 +56,8 @@
     standing: Standing,
     /// Newcomers at the machine's own address are let in here.
     accepts: bool,
+    /// How many of the clients are only connected to be told to come again.
+    crowded: usize,
     /// Those of the clients that could be closed.
     idle: IdleOrder,
     /// When a newcomer last found all places taken.
@@ -105,6 +107,7 @@
             room,
             standing,
             accepts,
+            crowded: 0,
             idle: IdleOrder::default(),
             full_at: None,
             backlog,
@@ -184,7 +187,7 @@
         registry: &Registry,
         core: &mut Core,
     ) {
-        let crowded = self.clients.len() >= self.room.clients;
+        let crowded = self.in_service() >= self.room.clients;
         self.admit(now, (stream, Some(now)), 0, crowded, token, registry);
         if let Some(client) = self.clients.get_mut(&token.0) {
             client.conn.input = input;
@@ -274,10 +277,9 @@
     }
 
     fn take_input(&mut self, now: Instant, id: usize, core: &mut Core) {
-        let too_many = self.clients.len() > self.room.clients;
+        self.serve_if_there_is_a_place(id);
         let full = core.held_bytes() + self.kept > self.room.bytes;
         let Some(client) = self.clients.get_mut(&id) else { return };
-        client.crowded &= too_many;
         let retired = self.endpoints[client.endpoint].retired;
         let declines = match (retired, full || client.crowded) {
             (true, _) => Some(Declined::Elsewhere),
@@ -351,6 +353,7 @@
 
     fn remove(&mut self, id: usize) -> Option<Client<P::Session>> {
         let client = self.clients.remove(&id)?;
+        self.crowded -= usize::from(client.crowded);
         self.idle.move_to(id, client.idle, None);
         self.kept -= client.kept;
         Some(client)
--- a/src/front/room.rs
+++ b/src/front/room.rs
@@ -48,7 +48,7 @@
     /// leaves a place as soon as that one goes, and the next takes it.
     pub fn is_crowded(&self, now: Instant) -> bool {
         let lately = |at: Instant| now.saturating_duration_since(at) < CROWD_MEMORY;
-        self.clients.len() >= self.room.clients || self.full_at.is_some_and(lately)
+        self.in_service() >= self.room.clients || self.full_at.is_some_and(lately)
     }
 
     /// What clients may take up from now on.
@@ -56,26 +56,44 @@
         self.room = room;
     }
 
+    /// Clients whose requests are taken.
+    pub(super) fn in_service(&self) -> usize {
+        self.clients.len() - self.crowded
+    }
+
+    /// Takes the requests of a client that was to be told to come again, if there is a place by now.
+    pub(super) fn serve_if_there_is_a_place(&mut self, id: usize) {
+        if self.in_service() >= self.room.clients {
+            return;
+        }
+        if let Some(client) = self.clients.get_mut(&id) {
+            self.crowded -= usize::from(std::mem::take(&mut client.crowded));
+        }
+    }
+
     /// Finds a place for a newcomer, and closes whom that takes. Nobody who was served goes for a newcomer while those that
     /// never asked for anything hold more than their part: who opens connections by the hundred displaces its own.
     pub(super) fn admission(&mut self, now: Instant) -> Admission {
-        if self.clients.len() >= self.room.clients {
+        if self.in_service() >= self.room.clients {
             self.full_at = Some(now);
         }
-        while self.clients.len() >= self.room.clients {
+        while self.in_service() >= self.room.clients {
             let silent_have_too_much = self.idle.len(Idle::Silent) > self.room.clients / SILENT_PART;
-            let closed = match silent_have_too_much {
-                true => self.close_longest_silent(),
+            let freed = match silent_have_too_much {
+                true => self.displace_longest_silent(),
                 false => self.close_an_idle_one(now, true),
             };
-            if !closed {
+            if !freed {
                 break;
             }
         }
-        if self.clients.len() < self.room.clients {
+        if self.in_service() < self.room.clients {
             return Admission::Served;
         }
-        if self.clients.len() < self.room.clients + self.room.crowd || self.close_longest_silent() {
+        if self.crowded < self.room.crowd
+            || self.close_longest(Idle::Crowded)
+            || self.close_longest(Idle::Silent)
+        {
             return Admission::Declined;
         }
         Admission::Shut
@@ -85,16 +103,31 @@
     /// whoever is one too many are only declined.
     pub(super) fn defers_newcomers(&self) -> bool {
         let full = self.clients.len() >= self.room.clients + self.room.crowd;
-        full && !self.backlog.is_empty() && self.idle.len(Idle::Silent) == 0
+        let silent = self.idle.len(Idle::Silent) + self.idle.len(Idle::Crowded);
+        full && !self.backlog.is_empty() && silent == 0
     }
 
-    /// Closes the client that has said nothing for longest. It is owed no answer, and takes up none of the places of those
-    /// that are ended in order.
-    fn close_longest_silent(&mut self) -> bool {
-        let longest = self.idle.longest(Idle::Silent);
+    /// Closes the client that has said nothing for longest, of one kind. It is owed no answer, and takes up none of the
+    /// places of those that are ended in order.
+    fn close_longest(&mut self, idle: Idle) -> bool {
+        let longest = self.idle.longest(idle);
         longest.is_some_and(|(_, id)| self.remove(id).is_some())
     }
 
+    /// Takes its place in service from the client that has said nothing for longest. It stays connected to be told to come
+    /// again, as long as there are places for that: a client that asks a moment later gets an answer and no reset.
+    fn displace_longest_silent(&mut self) -> bool {
+        let Some((_, id)) = self.idle.longest(Idle::Silent) else { return false };
+        if self.crowded >= self.room.crowd && !self.close_longest(Idle::Crowded) {
+            return self.remove(id).is_some();
+        }
+        let Some(client) = self.clients.get_mut(&id) else { return false };
+        client.crowded = true;
+        self.crowded += 1;
+        self.note_idle(id);
+        true
+    }
+
     /// Closes the client that makes room most easily, if any has to: first who has asked and is idle, and can come again
     /// at no cost; then, where there is no room at all, who never said anything; then who has begun to and does not go
     /// on. Guards those who take their time against those who never finish.
@@ -112,7 +145,7 @@
             return false;
         }
         if waited(Idle::Silent, SILENT_BEFORE_ROOM).is_some() {
-            return self.close_longest_silent();
+            return self.close_longest(Idle::Silent);
         }
         waited(Idle::Partial, STALLED_BEFORE_ROOM).is_some_and(|(_, id)| self.part(now, id))
     }
@@ -126,6 +159,7 @@
         let place: Option<Place> = (!stays).then(|| {
             let idle = match (client.partial.is_some(), protocol.has_asked(session)) {
                 (true, _) => Idle::Partial,
+                (false, false) if client.crowded => Idle::Crowded,
                 (false, false) => Idle::Silent,
                 (false, true) if protocol.has_requested(session) => Idle::Served,
                 (false, true) => Idle::Probed,
