Forwarder: after a stop what has come is read before time-outs are judged

Cause: a process that waits for a processor at the end of epoll_wait as it is stopped has, when it goes on, the events of before the stop and the clock of after it. The watch's time is over, discovery counts as silent, and what it tells then counts as told long ago, so that the draining node is not used.

Change: after a wait that may hide a stop the loop looks once more, without waiting, after it has read its clock: all that had come by that moment is read before timers are judged by it, for nodes, planners and members as well. The events of a turn and what they mean have a module of their own (forwarder/readiness.rs).

--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod configuration;
 mod operators;
+mod readiness;
 mod reports;
 mod succession;
 mod turns;
@@ -31,7 +32,8 @@
 use crate::upgrade::{self, Before, Upgrade};
 use budget::{connection_budget, LONG_PART, MOST_ISCSI};
 use mio::net::UnixStream;
-use mio::{Events, Interest, Poll, Token};
+use mio::{Interest, Poll, Token};
+use readiness::{Readiness, Ready};
 use std::io::Read;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -46,8 +48,6 @@
 const FLEET: Token = Token(8);
 /// Where advertisements come in, at most one interface for each family.
 const ADVERTISEMENTS: [Token; 2] = [Token(5), Token(6)];
-/// Connections that are told of in one turn: what comes of nodes is read at once, clients are heard in their turn.
-const MOST_EVENTS: usize = 1024;
 /// Part of the descriptors that clients may have requests waiting on: three fifths of the third that they hold.
 const HELD_SOCKETS: usize = 5;
 /// Part of that which one connection may have waiting, and how many commands at most. Guards against a client that sends
@@ -275,7 +275,7 @@
 
     /// Runs until all is answered after a signal to end.
     pub fn run(&mut self) -> std::io::Result<()> {
-        let mut events = Events::with_capacity(MOST_EVENTS);
+        let mut ready = Readiness::new();
         self.plan(Instant::now());
         let mut pace = Pace::new(self.config.settings.tick, self.config.cores, Instant::now());
         loop {
@@ -288,7 +288,7 @@
                 pace.paused(begun.elapsed());
             }
             let wait = due.saturating_duration_since(Instant::now());
-            match self.poll.poll(&mut events, Some(wait)) {
+            match ready.wait(&mut self.poll, wait) {
                 Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {
                     pace.interrupted();
                     continue;
@@ -298,10 +298,14 @@
             let now = Instant::now();
             self.turns.begin(now);
             let late = pace.woken(now);
+            let stopped = pace.may_have_been_stopped(now);
+            if stopped {
+                // Guards what has come by now against timers that are due by now: it may have come after the wait.
+                ready.look_again(&mut self.poll)?;
+            }
             self.core.is_late_by(late);
             self.report_turns(now);
             self.came = now.checked_sub(pace.waited()).unwrap_or(now);
-            let stopped = pace.may_have_been_stopped(now);
             self.resp.begin_turn(self.came, stopped);
             self.iscsi.iter_mut().for_each(|front| front.begin_turn(self.came, stopped));
             self.answer_what_is_over(now);
@@ -309,11 +313,11 @@
             if let Some(addresses) = &mut self.addresses {
                 // A process that was stopped, or waits for the processor, wakes late.
                 addresses.turned(now.saturating_duration_since(due));
-                self.serve(now, &events);
+                self.serve(now, &ready);
             }
-            self.answer_operators(now, &events);
+            self.answer_operators(now, &ready);
             self.turns.spent_on(Work::Upkeep);
-            self.gather_all(now, &events);
+            self.gather_all(now, &ready);
             self.turns.spent_on(Work::Hearing);
             self.take_part(now, late.max(now.saturating_duration_since(due)));
             self.turns.spent_on(Work::Upkeep);
@@ -355,9 +359,8 @@
     }
 
     /// Follows the addresses that move, before anything else that is ready.
-    fn serve(&mut self, now: Instant, events: &Events) {
-        let came = |token: &Token| events.iter().any(|event| event.token() == *token);
-        let came: Vec<bool> = ADVERTISEMENTS.iter().map(came).collect();
+    fn serve(&mut self, now: Instant, ready: &Readiness) {
+        let came: Vec<bool> = ADVERTISEMENTS.iter().map(|token| ready.contains(*token)).collect();
         let discovery = self.discovery.heard();
         let ready_nodes = self.nodes.ready();
         let (crowded, memory) = (self.resp.is_crowded(now), self.config.memory);
@@ -447,15 +450,15 @@
     /// Takes what is ready: what discovery says first, then clients, then nodes. Guards against attempts that begin as a
     /// connection comes up, while a drain, or that their client has gone, waits in the same turn to be read. A process
     /// that was stopped finds all of it there at once.
-    fn gather_all(&mut self, now: Instant, events: &Events) {
+    fn gather_all(&mut self, now: Instant, ready: &Readiness) {
         let rank = |token: Token| match Kind::of(token.0) {
             Some(Kind::Discovery) => 0,
             Some(Kind::Target) => 2,
             _ => 1,
         };
         for turn in 0..3 {
-            for event in events.iter().filter(|event| rank(event.token()) == turn) {
-                self.gather(now, event.token(), Ready::of(event));
+            for (token, ready) in ready.iter().filter(|(token, _)| rank(*token) == turn) {
+                self.gather(now, token, ready);
             }
             for effect in self.core.drain_effects() {
                 self.carry_out(now, effect);
@@ -687,29 +690,6 @@
     }
 }
 
-/// What a connection is ready for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Ready {
-    /// There is something to read.
-    Readable,
-    /// It takes more output, and that is all.
-    Writable,
-    /// The far side has ended its sending, or the connection broke.
-    Ends,
-}
-
-impl Ready {
-    fn of(event: &mio::event::Event) -> Ready {
-        if event.is_read_closed() || event.is_error() {
-            Ready::Ends
-        } else if event.is_readable() {
-            Ready::Readable
-        } else {
-            Ready::Writable
-        }
-    }
-}
-
 /// Takes off what signals have written; true if there was any.
 fn drained(signal: &mut UnixStream) -> bool {
     let mut bytes = [0; 64];
--- a/src/forwarder/operators.rs
+++ b/src/forwarder/operators.rs
@@ -1,18 +1,19 @@
 //! What operators ask for at the admin endpoint, and what comes of it.
 
+use super::readiness::Readiness;
 use super::{Forwarder, ADMIN_LISTENER};
 use crate::control::Call;
 use crate::service::Phase;
 use crate::tokens::Kind;
-use mio::{Events, Token};
+use mio::Token;
 use std::time::{Duration, Instant};
 
 impl Forwarder {
     /// What operators ask for, before all other work of a turn: guards their answers against any load.
-    pub(super) fn answer_operators(&mut self, now: Instant, events: &Events) {
+    pub(super) fn answer_operators(&mut self, now: Instant, ready: &Readiness) {
         let (Some(admin), tokens) = (&mut self.admin, &mut self.tokens) else { return };
         let mut calls = Vec::new();
-        for Token(id) in events.iter().map(|event| event.token()) {
+        for Token(id) in ready.iter().map(|(token, _)| token) {
             if Token(id) == ADMIN_LISTENER {
                 admin.knock(self.came);
             } else if Kind::of(id) == Some(Kind::Operator) {
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -79,7 +79,7 @@
         let (worked, asleep) = (self.done - self.woke, now - self.done);
         let kept = if std::mem::take(&mut self.stopped) { asleep } else { Duration::ZERO };
         let waited = asleep.saturating_sub(self.pause + kept);
-        if waited > HIDES_A_STOP {
+        if asleep > HIDES_A_STOP {
             self.long_wait = Some(now);
         }
         let late = (worked + self.pause).saturating_sub(waited) + kept;
