--- a/tests/net/acceptance.rs
+++ b/tests/net/acceptance.rs
@@ -5,26 +5,10 @@
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use topazpath::resp::{self, Value};
 
-/// A door that a test opens once, and with it when the test ends for any reason.
-#[derive(Clone, Default)]
-struct Gate(Arc<(Mutex<bool>, Condvar)>);
-
-impl Gate {
-    fn open(&self) {
-        *self.0 .0.lock().unwrap() = true;
-        self.0 .1.notify_all();
-    }
-
-    fn pass(&self) {
-        let open = self.0 .0.lock().unwrap();
-        let _open = self.0 .1.wait_timeout_while(open, PATIENCE, |open| !*open).unwrap();
-    }
-}
-
 fn list(name: &str, address: SocketAddr) -> String {
     format!(r#"{{"index":1,"snapshot":true,"endpoints":[{}]}}"#, line(name, address, 3, "active"))
 }
--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 use topazpath::resp::{self, Value};
@@ -330,6 +330,8 @@
     silent: u32,
     /// Calls that are to be turned away.
     overbooked: u32,
+    /// No call is answered any more.
+    fell_silent: bool,
     /// How often the whole list was asked for.
     fetched: u32,
 }
@@ -394,6 +396,11 @@
                 let body = loop {
                     let mut state = shared.lock().unwrap();
                     state.watched = state.watched.max(after);
+                    if state.fell_silent {
+                        drop(state);
+                        let _ = reader.read_to_end(&mut Vec::new());
+                        return;
+                    }
                     if after.is_none_or(|after| state.index > after) {
                         break state.body.clone();
                     }
@@ -414,6 +421,11 @@
         discovery
     }
 
+    /// No call is answered any more, those that wait included.
+    pub fn fall_silent(&self) {
+        self.state.lock().unwrap().fell_silent = true;
+    }
+
     /// The next calls are turned away.
     pub fn overbook(&self, calls: u32) {
         self.state.lock().unwrap().overbooked = calls;
@@ -454,6 +466,23 @@
     }
 }
 
+/// What a stand-in waits for until a test lets it go on.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<(Mutex<bool>, Condvar)>);
+
+impl Gate {
+    pub fn open(&self) {
+        *self.0 .0.lock().unwrap() = true;
+        self.0 .1.notify_all();
+    }
+
+    /// Waits until it is open, for as long as a test waits for anything.
+    pub fn pass(&self) {
+        let open = self.0 .0.lock().unwrap();
+        let _open = self.0 .1.wait_timeout_while(open, PATIENCE, |open| !*open).unwrap();
+    }
+}
+
 /// A line of the node list.
 pub fn line(name: &str, address: SocketAddr, shard: u32, status: &str) -> String {
     format!(
