Net tests: the condition of a silent discovery is caused, not hoped for

Cause: the test, not the program. Its discovery answers a watch after 0.5 s, and the condition was 0.5 s of silence, looked for every 0.25 s: it held for a millisecond or two of each half second. Alone the test took 2.7, 3.7, 6.7, 6.7, 9.7 and 11.7 s; it fails where the condition takes over 20 s.

--- a/tests/net/vrrp.rs
+++ b/tests/net/vrrp.rs
@@ -536,9 +536,11 @@
     eventually("descriptors are short", || holds(&program, "descriptors").then_some(()));
     drop(clients);
 
-    // Discovery has nothing to tell for as long as a watch may wait.
-    let (file, _advertiser) = tracks(14, "discovery-silent", "discovery_silent_ms = 500");
+    // A watch that waits for news is answered after 0.5 s.
+    let (file, _advertiser) = tracks(14, "discovery-silent", "discovery_silent_ms = 2000");
     let program = file.start(&discovery);
+    assert!(!holds(&program, "discovery-silent"));
+    discovery.fall_silent();
     eventually("discovery is silent", || holds(&program, "discovery-silent").then_some(()));
 }
 
