Net tests: clients that fill the descriptors go on doing so while discovery is asked again

Cause: the test, not the program. The places of the crowd are held for a second at most; where the twelve calls of discovery took longer than that, only clients in service were left, 88 descriptors with the program's own, and 90 are waited for. While connections waited in the accept queue until places were free, others took them.

Change: once all is full, clients that were closed connect again, so the descriptors stay full however long it takes: more pressure on discovery than before, the bound unchanged.

--- a/tests/net/acceptance.rs
+++ b/tests/net/acceptance.rs
@@ -194,15 +194,24 @@
     let mut clients: Vec<Client> = (0..400).map(|_| Client::connect(program.resp)).collect();
     let done = Arc::new(AtomicBool::new(false));
     let stop = done.clone();
-    let knocking = std::thread::spawn(move || {
+    let come_again = Arc::new(AtomicBool::new(false));
+    let again = come_again.clone();
+    let (ping, address) = (resp::command(&[b"PING"]), program.resp);
+    let pinging = std::thread::spawn(move || {
         let start = Instant::now();
         while !stop.load(Ordering::SeqCst) && start.elapsed() < 2 * PATIENCE {
-            clients.iter_mut().for_each(|client| client.send(&[b"PING"]));
+            for client in &mut clients {
+                if client.try_write(&ping).is_err() && again.load(Ordering::SeqCst) {
+                    *client = Client::connect(address);
+                }
+            }
             std::thread::sleep(Duration::from_millis(20));
         }
     });
     // Clients, those who are only told to come again, and those who were told.
     eventually("there is no more room", || (program.descriptors() >= 90).then_some(()));
+    // Whoever was closed comes again from now on, so that there is no room for as long as this lasts.
+    come_again.store(true, Ordering::SeqCst);
     // Discovery's connections end from now on.
     gate.open();
     let start = Instant::now();
@@ -210,7 +219,7 @@
     assert!(start.elapsed() < Duration::from_secs(6), "{:?}", start.elapsed());
     assert!(program.descriptors() >= 90, "they are still there");
     done.store(true, Ordering::SeqCst);
-    knocking.join().unwrap();
+    pinging.join().unwrap();
     eventually("served", || (read_piece(&mut Client::connect(program.resp), 1) == piece(1)).then_some(()));
 }
 
--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -646,7 +646,12 @@
 
     /// Writes as much as the far side still takes.
     pub fn write(&mut self, bytes: &[u8]) {
-        let _ = self.stream.write_all(bytes);
+        let _ = self.try_write(bytes);
+    }
+
+    /// Writes all, unless the connection has broken.
+    pub fn try_write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(bytes)
     }
 
     pub fn send(&mut self, words: &[&[u8]]) {
