--- a/src/core.rs
+++ b/src/core.rs
@@ -644,14 +644,35 @@
             if self.is_overdue(id, now) {
                 tracing::warn!(request = id.0, late = ?(now - at), "no decision by the deadline");
                 self.counters.answered_overdue += 1;
-                self.end(id);
+                self.end_overdue(id);
             }
         }
     }
 
-    /// Ends a request that the planner does not decide: refused where that is true to its effect, else failed.
-    fn end_without_planner(&mut self, id: RequestId) {
+    /// Ends a request whose time is over as the planner would: refused where that is true to its effect, else failed.
+    fn end_overdue(&mut self, id: RequestId) {
         let Some(open) = self.requests.get(&id) else { return };
+        let repeats = open.repeats;
+        let ran = self.stop_attempts(id);
+        self.answer_without_planner(id, repeats.allows_refusal(ran));
+        self.events.push(Event::ClientGone { id });
+    }
+
+    /// Ends a request that the planner does not decide: failed where it may have run, else refused.
+    fn end_without_planner(&mut self, id: RequestId) {
+        let ran = self.stop_attempts(id);
+        self.answer_without_planner(id, !ran);
+    }
+
+    fn answer_without_planner(&mut self, id: RequestId, refuses: bool) {
+        let refused = Answer::Refused { retry_after: self.retry_after };
+        self.answer(id, if refuses { refused } else { Answer::Failed });
+        self.close_if_over(id);
+    }
+
+    /// Stops all attempts of a request that are out; whether it may have run.
+    fn stop_attempts(&mut self, id: RequestId) -> bool {
+        let Some(open) = self.requests.get(&id) else { return false };
         let mut ran = open.ran;
         for (number, _) in open.attempts.iter().enumerate().filter(|(_, it)| it.running) {
             // An attempt that is out is taken to have run.
@@ -659,10 +680,7 @@
             let attempt = AttemptId { request: id, number: number as u32 };
             self.effects.push(Effect::Stop { attempt, outcome: Outcome::Cancelled });
         }
-        let refused = Answer::Refused { retry_after: self.retry_after };
-        let answer = if open.repeats.allows_refusal(ran) { refused } else { Answer::Failed };
-        self.answer(id, answer);
-        self.close_if_over(id);
+        ran
     }
 
     /// At the end of the process: ends every open request once and replays nothing.
