--- a/src/control/endpoint.rs
+++ b/src/control/endpoint.rs
@@ -67,7 +67,7 @@
     }
 
     /// Callers may wait since then.
-    pub fn knock(&mut self, since: Instant) {
+    pub fn connections_pending(&mut self, since: Instant) {
         self.listener.ready(since);
     }
 
--- a/src/forwarder/operators.rs
+++ b/src/forwarder/operators.rs
@@ -15,7 +15,7 @@
         let mut calls = Vec::new();
         for Token(id) in ready.iter().map(|(token, _)| token) {
             if Token(id) == ADMIN_LISTENER {
-                admin.knock(self.came);
+                admin.connections_pending(self.came);
             } else if Kind::of(id) == Some(Kind::Operator) {
                 calls.extend(admin.ready(now, id).map(|call| (id, call)));
             }
@@ -51,7 +51,7 @@
             Call::Drain => self.state.drain(now)?,
             Call::Resume => self.state.resume()?,
         }
-        self.stand();
+        self.publish_service_state();
         Ok(self.state.phase().name().into())
     }
 
--- a/src/forwarder/succession.rs
+++ b/src/forwarder/succession.rs
@@ -77,7 +77,7 @@
                     self.planner.take_all(now);
                     // What it promised may be out of date: it comes again as another life.
                     self.fleet_again = self.config.fleet.is_some().then_some(now);
-                    self.stand();
+                    self.publish_service_state();
                     self.upgrade.listen(self.poll.registry());
                 }
                 Heard::NewerGone => {}
@@ -119,7 +119,7 @@
                 self.admin_given = true;
             }
             self.state.replace(now);
-            self.stand();
+            self.publish_service_state();
         }
     }
 
--- a/src/front/answers.rs
+++ b/src/front/answers.rs
@@ -115,7 +115,7 @@
             && unwritten == 0
             && self.protocol.is_idle(&client.session)
         {
-            self.part(now, id);
+            self.close_in_order(now, id);
             return;
         }
         self.note_idle(id);
--- a/src/front/endpoints.rs
+++ b/src/front/endpoints.rs
@@ -114,7 +114,7 @@
     }
 
     /// Newcomers wait.
-    pub fn knock(&mut self) {
+    pub fn connections_pending(&mut self) {
         let came = self.came;
         self.endpoints.iter_mut().filter_map(|it| it.listener.as_mut()).for_each(|it| it.ready(came));
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -149,7 +149,7 @@
 
     /// The state of service has changed. After SIGTERM idle clients are kept, since new connections come to another
     /// process, and those that stay open are still used.
-    pub fn stand(&mut self, standing: Standing) {
+    pub fn follow_service_state(&mut self, standing: Standing) {
         self.standing = standing;
         if standing.shed_from.is_none() {
             // Whoever was asked for no more, and is still here.
@@ -217,7 +217,7 @@
 
     /// Ends a connection from this side, in order: whatever crosses the end is neither read as a request nor resets what
     /// was written.
-    fn part(&mut self, now: Instant, id: usize) -> bool {
+    fn close_in_order(&mut self, now: Instant, id: usize) -> bool {
         let Some(client) = self.remove(id) else { return false };
         self.leaving.add(now, id, client.conn, self.room.leaving);
         true
@@ -255,7 +255,7 @@
     pub fn ended(&mut self, now: Instant, id: usize, core: &mut Core) {
         let Some(client) = self.clients.get_mut(&id) else { return self.leaving.ready(id) };
         if client.closing.is_some() && client.conn.flush().is_ok() && client.conn.unwritten() == 0 {
-            self.part(now, id);
+            self.close_in_order(now, id);
         }
         self.drop_client(id, core);
     }
--- a/src/front/room.rs
+++ b/src/front/room.rs
@@ -139,7 +139,7 @@
         let served = waited(Idle::Served, IDLE_BEFORE_ROOM).filter(|_| !self.standing.keeps_idle);
         let asked = [waited(Idle::Probed, IDLE_BEFORE_ROOM), served].into_iter().flatten().min();
         if let Some((_, id)) = asked {
-            return self.part(now, id);
+            return self.close_in_order(now, id);
         }
         if !no_room {
             return false;
@@ -147,7 +147,7 @@
         if waited(Idle::Silent, SILENT_BEFORE_ROOM).is_some() {
             return self.close_longest(Idle::Silent);
         }
-        waited(Idle::Partial, STALLED_BEFORE_ROOM).is_some_and(|(_, id)| self.part(now, id))
+        waited(Idle::Partial, STALLED_BEFORE_ROOM).is_some_and(|(_, id)| self.close_in_order(now, id))
     }
 
     /// Puts a client where it belongs among those that could be closed, after anything that happened to it.
--- a/src/front/sweep.rs
+++ b/src/front/sweep.rs
@@ -60,7 +60,7 @@
         }
         dropped.into_iter().for_each(|id| self.drop_client(id, core));
         for id in parted {
-            self.part(now, id);
+            self.close_in_order(now, id);
         }
         // Guards against clients that each keep a connection and may hold only so many: the next request would find
         // none. Whoever is idle comes back on a new one.
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -34,7 +34,7 @@
     let ping = b"*1\r\n$4\r\nPING\r\n";
     client.write_all(&ping.repeat(3 * MOST_TAKEN)).unwrap();
     while front.len() == 0 {
-        front.knock();
+        front.connections_pending();
         front.turn(now, poll.registry(), || Token(16), &mut core);
     }
     let mut answered = |front: &mut Front<resp::Resp>, turn: &mut dyn FnMut(&mut Front<resp::Resp>)| {
@@ -67,7 +67,7 @@
         Token(token)
     };
     while front.len() < count {
-        front.knock();
+        front.connections_pending();
         front.turn(start, poll.registry(), &mut next, &mut core);
     }
     clients.iter_mut().for_each(|client| client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap());
@@ -113,7 +113,7 @@
         let now = Instant::now();
         let mut last = front.clients.keys().copied().max().unwrap_or(0);
         front.begin_turn(now, false);
-        front.knock();
+        front.connections_pending();
         let next = || {
             last += 16;
             Token(last)
@@ -186,7 +186,7 @@
     let came = Instant::now();
     std::thread::sleep(Duration::from_millis(260));
     front.begin_turn(came, false);
-    front.knock();
+    front.connections_pending();
     accept_until(&mut front, &poll, &mut core, |_| came.elapsed() > Duration::from_millis(300));
     assert_eq!((core.counters.read_late, core.counters.taken), (1, 0), "{:?}", core.counters);
 }
--- a/src/upgrade/mod.rs
+++ b/src/upgrade/mod.rs
@@ -205,7 +205,7 @@
     }
 
     /// The next process knocks.
-    pub fn knock(&mut self) {
+    pub fn connections_pending(&mut self) {
         self.knocked = true;
     }
 
