--- a/lab/src/soak/tests.rs
+++ b/lab/src/soak/tests.rs
@@ -55,7 +55,8 @@
 /// Requests that waited in the accept queue for a second and more were served as if they had just come: nodes were told up
 /// to 365 ms more than the clients had left, and some answers came after their time. While all places were taken the queue
 /// was left alone for 20 ms at a time, and a client that had said nothing kept its place for 50 ms (an accept queue of 700
-/// to 1,000 fell by some 800 a second with the processor at rest); and a client's time counted from its accept.
+/// to 1,000 fell by some 800 a second with the processor at rest, as the report of this fault has it); and a client's time
+/// counted from its accept.
 #[test]
 fn a_crowd_makes_no_request_older_than_it_is_told_to_be() {
     let _alone = processor::alone();
