--- a/src/rules/dispatch.rs
+++ b/src/rules/dispatch.rs
@@ -103,8 +103,8 @@
         best.max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(b.2.cmp(&a.2))).map(|best| best.2)
     }
 
-    /// Whether no attempt is out and a single request is queued. Levels move with answers alone: one that was tried already, and
-    /// whose answer was lost, would wait for all of its time beside an idle node.
+    /// Whether no attempt is out and a single request is queued. Levels move with answers alone: one that was
+    /// tried already, and whose answer was lost, would wait for all of its time beside an idle node.
     fn nothing_else_is_open(&self) -> bool {
         self.held.len() == 1 && self.nodes.busy().next().is_none()
     }
