Review: the cases' scripts map every other exit to 2 and end what they started

Need: a run that is cut off by its limit must not look like a verdict, nor leave processes behind. Change: run.sh gives 0 and 1 through and turns all else into 2; the stand-ins end their processes when they are told to end.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,9 @@
 #!/bin/sh
-# Exit: 0 the rule held, 1 it was broken, 2 the case could not run.
+# Exit: 0 the rule held, 1 it was broken, 2 the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/release/topazpath ] || exit 2
-exec timeout -k 5 115 python3 case.py
+command -v python3 >/dev/null || exit 2
+timeout -k 2 115 python3 case.py
+code=$?
+[ "$code" -le 1 ] && exit "$code"
+exit 2
--- a/review/standins.py
+++ b/review/standins.py
@@ -397,6 +397,12 @@
     async def limited():
         return await asyncio.wait_for(case(record, platform), 110)
 
+    def told_to_end(*_):
+        platform.end()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, told_to_end)
+    signal.signal(signal.SIGINT, told_to_end)
     code = 2
     try:
         held = asyncio.run(limited())
