--- a/review/3/case.py
+++ b/review/3/case.py
@@ -108,7 +108,7 @@
     nodes.append(await LongNode(record, "s-3", 3, "sala-palermo").start())
     for node in nodes:
         await agent.tell(**node.entry())
-    process = platform.start("n1", palermo(), agent.address(), memory_mb=128)
+    process = platform.start("n1", palermo(), agent.address(), memory_mb=64, sockets=640)
     if not await process.ready():
         raise RuntimeError("the initiator is not ready")
     await asyncio.sleep(0.5)
