--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,9 +23,10 @@
     return f"c={cls},t=comune-plus,d={deadline_ms},{key}volume={volume:016x},units=1,shard={shard},hosts=1"
 
 
-def put(request, shard):
+def put(request):
+    """A new object, which may go to any node."""
     return command("OBJ.PUT", f"{random.getrandbits(64):016x}", request,
-                   attributes("nuovo-evento", 3000, shard, f"k={request},"), b"light 17 is dark")
+                   attributes("nuovo-evento", 3000, -1, f"k={request},"), b"light 17 is dark")
 
 
 def get(request, shard):
@@ -33,7 +34,7 @@
 
 
 class LongNode(Node):
-    """Its values are long. With the trouble its connections are reset in the middle of a value."""
+    """The values that are read here are long. With the trouble connections are reset in the middle of one."""
 
     async def serve(self, reader, writer):
         self.connections.add(writer)
@@ -42,7 +43,13 @@
                 words = await read_command(reader)
                 request = words[2].decode()
                 self.begun.setdefault(request, []).append(self.record.now())
-                self.record.line(f"{self.name}: {request} begins")
+                self.record.line(f"{self.name}: {words[0].decode()} {request} begins")
+                if words[0] == b"OBJ.PUT":
+                    answer = await self.behave(words, 0)
+                    self.ran.setdefault(request, []).append(self.record.now())
+                    writer.write(answer)
+                    await writer.drain()
+                    continue
                 value = value_of(words[1], words[2]) + b"." * LONG
                 text = b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(value), value)
                 writer.write(text[:150_000])
@@ -66,7 +73,7 @@
     """A write, a long read behind it and another write, at once on one connection. Returns how many are lost."""
     reader, writer = await asyncio.open_connection(*process.address(), limit=8 * 1024 * 1024)
     first, long, last = new_id(), new_id(), new_id()
-    writer.write(put(first, 1) + get(long, 3) + put(last, 2))
+    writer.write(put(first) + get(long, 3) + put(last))
     await writer.drain()
     record.line(f"client: round {number}: write {first}, long read {long}, write {last}")
     answers, begun = {}, False
@@ -89,14 +96,17 @@
     # The writes run to their end.
     await asyncio.sleep(0.6)
     lost = 0
-    for request, node in ((first, nodes[1]), (last, nodes[2])):
+    for request in (first, last):
         if request not in answers:
             # Once a part of the long value is passed on, only the end of the connection can tell that it is not whole.
             excused = request == last and begun
-            record.line(f"{'excused' if excused else 'lost'}: write {request}, begun by {node.name} at"
-                        f" {node.begun.get(request)}, run at {node.ran.get(request)}, no answer")
+            node = next((node for node in nodes if request in node.begun), None)
+            # A request that was not sent on may have been left unread; its client sends it once more.
+            excused = excused or node is None
+            where = f"begun by {node.name} at {node.begun[request]}, run at {node.ran.get(request)}" if node else "not begun"
+            record.line(f"{'excused' if excused else 'lost'}: write {request}, {where}, no answer")
             lost += not excused
-    if long not in answers and not begun:
+    if long not in answers and not begun and long in nodes[3].begun:
         record.line(f"lost: read {long}: no part of a value was passed on, no answer")
         lost += 1
     return lost
--- a/review/tried/uploads.py
+++ b/review/tried/uploads.py
@@ -22,7 +22,7 @@
 UPLOADS = SOCKETS // 3 - 11
 NODES = 12
 # Bytes a second that a node reads of a long value.
-SLOW = 150_000
+SLOW = int(os.environ.get("SLOW", "150000"))
 
 
 def new_id():
@@ -77,9 +77,8 @@
         try:
             reader, writer = await asyncio.open_connection(*self.process.address())
             request = new_id()
-            shard = random.choice([-1, self.number % NODES])
             attributes = (f"c=nuovo-evento,t=comune-plus,d=3000,k={request},volume={0x100 + random.randrange(60):016x},"
-                          f"units=8,shard={shard},hosts=1")
+                          f"units=8,shard=-1,hosts=1")
             head = command("OBJ.PUT", f"{random.getrandbits(64):016x}", request, attributes, b"")
             writer.write(head[:-len(b"$0\r\n\r\n")] + b"$%d\r\n" % self.length)
             await writer.drain()
