A connection that ends within a long value is shut down and not reset

The client's connection is reset if commands are unread, and whole answers that the system still held for it are dropped.

Cause: Front::finish_answer dropped the connection like that of a client that has gone; a close over unread input resets it.

Change: Front::truncate_answer shuts it down for writing and lets it linger as all other connections that end from this side. The unwritten rest of the broken value is dropped: earlier answers are with the kernel since.

--- a/src/conn.rs
+++ b/src/conn.rs
@@ -160,6 +160,12 @@
         Ok(true)
     }
 
+    /// Drops all queued output.
+    pub fn discard_output(&mut self) {
+        (self.output, self.begun) = (VecDeque::new(), false);
+        (self.unwritten, self.written) = (0, 0);
+    }
+
     /// Queued bytes not yet passed to the kernel.
     pub fn unwritten(&self) -> usize {
         self.unwritten
--- a/src/forwarder/effects.rs
+++ b/src/forwarder/effects.rs
@@ -100,8 +100,11 @@
     pub(super) fn apply_effect(&mut self, now: Instant, effect: Effect) {
         match effect {
             Effect::BodyAvailable { attempt } => self.targets.continue_body(now, attempt),
-            Effect::EndStream { origin, complete } => {
-                self.resp.finish_answer(now, origin, complete, &mut self.core)
+            Effect::EndStream { origin, complete: true } => {
+                self.resp.finish_answer(now, origin, &mut self.core)
+            }
+            Effect::EndStream { origin, complete: false } => {
+                self.resp.truncate_answer(now, origin, &mut self.core)
             }
             Effect::DiscardStream { origin } => self.resp.discard_answer(now, origin, &mut self.core),
             Effect::Answer { origin, answer } => match (Kind::of(origin.conn), &mut self.iscsi) {
--- a/src/front/answers.rs
+++ b/src/front/answers.rs
@@ -44,14 +44,9 @@
         self.flush(now, origin.conn, core);
     }
 
-    /// Ends a streamed answer. If it is incomplete, the connection is dropped, which is the only way to tell
-    /// the client.
-    pub fn finish_answer(&mut self, now: Instant, origin: Origin, whole: bool, core: &mut Core) {
+    /// Ends a streamed answer that was received whole.
+    pub fn finish_answer(&mut self, now: Instant, origin: Origin, core: &mut Core) {
         let Some(client) = self.clients.get_mut(&origin.conn) else { return };
-        if !whole {
-            core.counters.answers_truncated += 1;
-            return self.drop_client(origin.conn, core);
-        }
         let stream = client.streams.iter_mut().find(|stream| stream.sequence == origin.sequence);
         stream.into_iter().for_each(|stream| stream.finished = true);
         let mut output = Vec::new();
@@ -62,6 +57,18 @@
         self.resume(now, origin.conn, core);
     }
 
+    /// Ends a connection within a streamed answer that broke off after a part of it was passed on: only the end tells
+    /// the client that the answer is not whole. Earlier answers are with the kernel by then, and reach the client: a
+    /// plain close over unread commands would reset the connection under them.
+    pub fn truncate_answer(&mut self, now: Instant, origin: Origin, core: &mut Core) {
+        let Some(client) = self.clients.get_mut(&origin.conn) else { return };
+        core.counters.answers_truncated += 1;
+        client.conn.discard_output();
+        let open_requests = self.protocol.open_requests(&client.session);
+        open_requests.into_iter().for_each(|request| core.client_gone(request));
+        self.close_gracefully(now, origin.conn);
+    }
+
     /// Drops a streamed answer that broke off before any of it was passed on. Its request gets another answer.
     pub fn discard_answer(&mut self, now: Instant, origin: Origin, core: &mut Core) {
         let Some(client) = self.clients.get_mut(&origin.conn) else { return };
--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -715,11 +715,12 @@
         String::from_utf8(bytes(self.receive())).unwrap()
     }
 
-    /// All bytes up to the end of the connection, whatever they mean.
-    pub fn receive_to_the_end(&mut self) -> Vec<u8> {
-        let all = |_: &[u8]| None::<((), usize)>;
-        assert!(read_message(&mut self.stream, &mut self.input, all).is_none());
-        std::mem::take(&mut self.input)
+    /// All bytes up to the end of the connection, whatever they mean. An error if it is reset.
+    pub fn receive_to_the_end(&mut self) -> std::io::Result<Vec<u8>> {
+        self.stream.set_read_timeout(Some(WAIT_LIMIT))?;
+        let mut received = std::mem::take(&mut self.input);
+        self.stream.read_to_end(&mut received)?;
+        Ok(received)
     }
 
     pub fn receive(&mut self) -> Value {
--- a/tests/net/long_values.rs
+++ b/tests/net/long_values.rs
@@ -8,6 +8,8 @@
 const PART: usize = 150_000;
 /// A length that no socket buffers hold together with another value of it.
 const LONGEST: usize = 4 * 1024 * 1024;
+/// Commands that take up more than is buffered of one connection's input.
+const UNREAD_COMMANDS: usize = 20_000;
 
 fn long_value() -> Vec<u8> {
     vec![b'.'; LONG]
@@ -113,7 +115,7 @@
     client.request(1, 1, "", None);
     assert_eq!(client.receive(), bulk(b"v"));
     client.request(9, 1, "", None);
-    let rest = client.receive_to_the_end();
+    let rest = client.receive_to_the_end().unwrap();
     let head = format!("${LONG}\r\n");
     assert!(rest.starts_with(head.as_bytes()), "{} bytes", rest.len());
     assert!(rest.len() < head.len() + LONG, "{} bytes", rest.len());
@@ -124,3 +126,23 @@
     other.request(1, 1, "", None);
     assert_eq!(other.receive(), bulk(b"v"));
 }
+
+/// Guards against a reset of the connection under what its client has not received yet (found beside review/3): a close
+/// over unread commands resets, and answers that the system still held went with it.
+#[test]
+fn a_connection_that_ends_in_a_long_value_is_not_reset_over_unread_commands() {
+    let node = Node::start(|_, words| match words[1].last() {
+        Some(b'9') => Reply::BrokenOff(long_value(), PART),
+        _ => Reply::Value(vec![b'w'; LONG]),
+    });
+    let discovery = Discovery::start(&[("s-1", node.address, 1)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    client.request(1, 1, "", None);
+    client.request(9, 1, "", None);
+    // More than the program reads while its client has as many commands open.
+    let sent = client.try_write(&b"*1\r\n$4\r\nPING\r\n".repeat(UNREAD_COMMANDS));
+    program.wait_for_info("answers_cut:1");
+    let received = client.receive_to_the_end().expect("an orderly end");
+    assert!(received.len() > LONG, "{} bytes, sent: {sent:?}", received.len());
+}
