A long value that the core has given up is not begun by the answer before it

Cause: a value broke off in the same turn of the loop in which the answer before it came. The core had pushed the answer first and Effect::DiscardStream behind it. When the front wrote the answer, the value became the next in order, and Front::pass_on_stream began to pass it on before the second effect was applied.

Change: pass_on_stream begins only what Core::is_streaming confirms.

--- a/src/core.rs
+++ b/src/core.rs
@@ -408,6 +408,12 @@
         open.stream.as_ref().is_some_and(|it| it.attempt == attempt.number).then_some(open.origin)
     }
 
+    /// Whether a request's answer is being streamed. A front that still buffers a part of an answer must not begin to
+    /// pass it on otherwise: it has broken off, and an [`Effect::DiscardStream`] is on its way.
+    pub fn is_streaming(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|open| open.stream.is_some())
+    }
+
     /// The key that an attempt asks for, and its node.
     pub fn key_and_node(&self, attempt: AttemptId) -> Option<(u64, NodeId)> {
         let open = self.requests.get(&attempt.request)?;
--- a/src/front/answers.rs
+++ b/src/front/answers.rs
@@ -91,7 +91,7 @@
             *next.bytes = Vec::new();
             return client.conn.flush();
         }
-        if client.conn.unwritten() > 0 {
+        if client.conn.unwritten() > 0 || !core.is_streaming(next.request) {
             return Ok(());
         }
         *next.begun = client.conn.begin(next.bytes)?;
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -180,8 +180,12 @@
 
 /// A request whose client waits for this many milliseconds.
 fn request_with_deadline(deadline_ms: &str) -> Vec<u8> {
+    request_with_id("0000000000000002", deadline_ms)
+}
+
+fn request_with_id(id: &str, deadline_ms: &str) -> Vec<u8> {
     let attributes = format!("c=c,t=t,d={deadline_ms},volume=0000000000000001,units=1,shard=0,hosts=1");
-    crate::resp::command(&[b"OBJ.GET", b"0000000000000001", b"0000000000000002", attributes.as_bytes()])
+    crate::resp::command(&[b"OBJ.GET", b"0000000000000001", id.as_bytes(), attributes.as_bytes()])
 }
 
 #[test]
@@ -315,3 +319,50 @@
     assert!(front.is_at_capacity(now));
     assert!(!front.is_at_capacity(now + room::AT_CAPACITY_HOLD), "no connection arrived since");
 }
+
+/// Guards against a part of a long value before another answer to the same request (found by the soak, extended seed
+/// 13, short: "a long value is not followed by CRLF"). The value broke off in the same turn of the loop in which the
+/// answer before it came: the core had given it up, and the front began to pass it on.
+#[test]
+fn a_long_value_that_the_core_has_given_up_is_not_begun_by_the_answer_before_it() {
+    use crate::core::{AttemptId, AttemptResult, Effect};
+    use crate::interface::{Action, NodeId, Outcome};
+    let poll = Poll::new().unwrap();
+    let limits = ClientLimits { evict_idle_above: 4, clients: 1, overflow: 1, lingering: 1, bytes: 1 << 20 };
+    let (mut front, mut clients, mut core) = front_full_of_silent_clients(&poll, limits);
+    let id = *front.clients.keys().min().unwrap();
+    configure_class_and_plan(&mut front);
+    clients[0].write_all(&[request_with_id("1", "900"), request_with_id("2", "900")].concat()).unwrap();
+    let now = Instant::now();
+    let both = |core: &Core| core.open_requests() == 2;
+    while !both(&core) {
+        front.readable(now, id, &mut core);
+    }
+    let [first, long] = [1, 2].map(crate::interface::RequestId);
+    let give_up_at = front.clock.unix(now) + Duration::from_millis(800);
+    let sends =
+        [first, long].map(|id| Action::Send { id, node: NodeId(1), give_up_at, begin_by: give_up_at });
+    core.carry_out(now, sends.to_vec());
+    core.drain_effects();
+    let attempt = AttemptId { request: long, number: 0 };
+    let origin = core.begin_stream(attempt).unwrap();
+    front.begin_answer(now, origin, 100_000, None, &mut core);
+    front.write_piece(now, origin, b"a part of the value", &mut core);
+    // Both attempts end before any effect is applied.
+    let served = AttemptResult { value: b"v".to_vec(), ..AttemptResult::without_reply(Outcome::Served) };
+    core.attempt_ended(now, AttemptId { request: first, number: 0 }, served);
+    core.attempt_ended(now, attempt, AttemptResult::without_reply(Outcome::Reset));
+    core.carry_out(now, vec![Action::Fail { id: long }]);
+    for effect in core.drain_effects() {
+        match effect {
+            Effect::Answer { origin, answer } => front.answer(now, origin, answer, &mut core),
+            Effect::DiscardStream { origin } => front.discard_answer(now, origin, &mut core),
+            other => panic!("{other:?}"),
+        }
+    }
+    let expected = b"$1\r\nv\r\n-ERR failed\r\n";
+    let mut received = vec![0; expected.len()];
+    clients[0].set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    clients[0].read_exact(&mut received).unwrap();
+    assert_eq!(received, expected);
+}
