Soak: several requests at once with long values that break off, in extended runs

The order of events of: a write, the read of a long value and another write at once on a new connection, and nodes that reset connections in the middle of long values for a while. A request may end with a value that its connection was closed within only if a node has reset that value; the time that it waits for earlier answers does not count. A new connection that is closed in a crowded run is excused no more if a node has begun its request.

--- a/lab/src/soak/checker.rs
+++ b/lab/src/soak/checker.rs
@@ -33,9 +33,9 @@
     let mut breach = |rule, what: Option<String>| breaches.extend(what.map(|what| Breach { rule, what }));
     let attempts = by_id(&history.attempts);
     for request in &history.requests {
-        breach("lost", lost(history, request));
-        breach("answer", invalid_answer(request));
         let own = attempts.get(request.id.as_str()).map_or(&[][..], Vec::as_slice);
+        breach("lost", lost(history, request, own));
+        breach("answer", invalid_answer(request));
         breach("duplicate", duplicate(history, request, own));
         for attempt in own {
             breach("gone", after_client_left(history, request, attempt));
@@ -66,8 +66,9 @@
     SOCKET_SLACK + history.standstill + longest_hold.min(TIME_LEFT_SLACK)
 }
 
-fn lost(history: &History, request: &Request) -> Option<String> {
-    let over = request.sent + request.timeout + ANSWER_SLACK + history.standstill;
+fn lost(history: &History, request: &Request, attempts: &[&Attempt]) -> Option<String> {
+    let deadline = (request.sent + request.timeout).max(request.next_since.unwrap_or(request.sent));
+    let over = deadline + ANSWER_SLACK + history.standstill;
     let is_excused = match (history.terminated, history.killed) {
         // In flight at SIGKILL, which is allowed for requests sent up to LATE_AFTER_TERM after SIGTERM.
         (Some(terminated), Some(killed)) => {
@@ -82,10 +83,13 @@
     match &request.end {
         Some((at, End::Answered { .. })) if *at <= over => None,
         Some((_, End::Left | End::Unreached | End::Garbled(_))) => None,
+        // Once a part of a long value was passed on, only the end of the connection tells that it is not whole.
+        Some((_, End::CutOff { value_of })) if history.reset_values.contains(value_of) => None,
         Some((at, End::Closed)) if request.reused && *at - request.sent < CLOSE_RACE + history.standstill => {
             None
         }
-        Some((_, End::Closed)) if history.crowded && !request.reused => None,
+        // Where descriptors are short, new connections may be closed unread.
+        Some((_, End::Closed)) if history.crowded && !request.reused && attempts.is_empty() => None,
         _ if is_excused => None,
         Some((at, end)) => Some(format!(
             "{}: {end:?} {:?} after it was sent, its timeout is {:?}",
--- a/lab/src/soak/checker/tests.rs
+++ b/lab/src/soak/checker/tests.rs
@@ -21,6 +21,7 @@
             sent: start,
             timeout: ms(1_000),
             reused: false,
+            next_since: None,
             connected_at: None,
             end,
         };
@@ -77,6 +78,19 @@
     assert_eq!(never.broken(), ["lost"]);
 }
 
+#[test]
+fn a_request_may_end_with_a_long_value_that_was_begun_and_the_wait_for_earlier_answers_does_not_count() {
+    let mut cut_off = Seen::new().end(300, End::CutOff { value_of: "b".into() });
+    assert_eq!(cut_off.broken(), ["lost"], "the node has sent the whole value");
+    cut_off.history.reset_values.insert("b".into());
+    assert!(cut_off.broken().is_empty());
+    let mut waited = Seen::new().end(3_400, End::Answered { served: true });
+    waited.history.requests[0].next_since = Some(waited.start + ms(2_901));
+    assert!(waited.broken().is_empty());
+    waited.history.requests[0].next_since = Some(waited.start + ms(2_899));
+    assert_eq!(waited.broken(), ["lost"]);
+}
+
 #[test]
 fn what_sigkill_finds_open_is_lost_unless_it_came_soon_after_sigterm() {
     let killed = |sent_after_term: u64| {
--- a/lab/src/soak/crowds.rs
+++ b/lab/src/soak/crowds.rs
@@ -168,7 +168,7 @@
             }
             Some((_, End::Closed | End::Unreached)) => summary.closed += 1,
             // No answer until the client gave up, which it does only after its deadline.
-            Some((_, End::Left | End::Garbled(_))) | None => summary.late += 1,
+            Some((_, End::Left | End::Garbled(_) | End::CutOff { .. })) | None => summary.late += 1,
         }
         let own = attempts.get(request.id.as_str()).map_or(&[][..], Vec::as_slice);
         let excess =
--- a/lab/src/soak/history.rs
+++ b/lab/src/soak/history.rs
@@ -1,6 +1,7 @@
 //! What clients, nodes and discovery observed, as recorded by the stand-ins. Nothing here comes from the program's own
 //! counters.
 
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 /// Kind of an operation, by the effect of running it twice.
@@ -19,6 +20,8 @@
     Answered { served: bool },
     /// The connection closed before a complete answer.
     Closed,
+    /// The connection closed within a long value: that of this request, or of one before it.
+    CutOff { value_of: String },
     /// The client closed its connection.
     Left,
     /// The connection was never accepted.
@@ -38,6 +41,8 @@
     pub timeout: Duration,
     /// Whether it was sent on an idle, established connection.
     pub reused: bool,
+    /// The request was sent behind others, and the last of these had its answer then. Waiting for them does not count.
+    pub next_since: Option<Instant>,
     /// When the client saw its connection established.
     pub connected_at: Option<Instant>,
     pub end: Option<(Instant, End)>,
@@ -76,6 +81,8 @@
     pub requests: Vec<Request>,
     pub attempts: Vec<Attempt>,
     pub listed: Vec<ListedLine>,
+    /// Requests for which a node has begun a long value on a connection that it reset.
+    pub reset_values: HashSet<String>,
     /// When SIGTERM and SIGKILL were sent.
     pub terminated: Option<Instant>,
     pub killed: Option<Instant>,
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod crowd;
 pub mod crowds;
 mod history;
+mod long_value;
 mod nodes;
 pub mod plan;
 mod process;
@@ -30,7 +31,8 @@
     /// Number of consecutive seeds to run.
     #[arg(long, default_value_t = 1)]
     seeds: u64,
-    /// With waves of idle connections, half of the requests on new connections, and series of signals during shutdown.
+    /// With waves of idle connections, half of the requests on new connections, several requests at once with long values
+    /// that break off, and series of signals during shutdown.
     #[arg(long)]
     extended: bool,
     /// Short runs and small fleets.
--- a/lab/src/soak/nodes.rs
+++ b/lab/src/soak/nodes.rs
@@ -1,13 +1,14 @@
 //! Stand-in storage nodes: each has its own listener, answers after a random service time, and fails as the plan says.
 
 use super::history::Attempt;
+use super::long_value;
 use super::wire::Wire;
 use mio::net::TcpListener;
 use mio::{Interest, Registry, Token};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use socket2::{Domain, Socket, Type};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 use topazpath::resp::{self, Value};
@@ -17,6 +18,9 @@
 /// An answer with a value, without the optional fields.
 const SERVED: &[u8] = b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
 const FAILED: &[u8] = b"-ERR failed\r\n";
+/// Bytes of a long answer that a node sends before it breaks off, and the time from then until it resets the connection.
+const PART: usize = 150_000;
+const RESET_DELAY: Duration = Duration::from_millis(10);
 
 /// How a node fails for a while.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +31,32 @@
     Errors,
     /// Resets existing and new connections.
     Down,
+    /// Resets connections in the middle of long values.
+    BreaksOff,
+}
+
+/// What a node sends next on a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Answer {
+    Served,
+    Failed,
+    /// A long value, for the request of this id.
+    Long(String),
+    /// The beginning of a long value, and then a reset.
+    PartOfLong(String),
+    Reset,
+}
+
+impl Answer {
+    /// The answer of a node to a command.
+    fn to(command: &Command, failure: Option<Failure>) -> Answer {
+        match failure {
+            Some(Failure::Errors) => Answer::Failed,
+            Some(Failure::BreaksOff) if command.wants_long_value => Answer::PartOfLong(command.id.clone()),
+            _ if command.wants_long_value => Answer::Long(command.id.clone()),
+            _ => Answer::Served,
+        }
+    }
 }
 
 /// The socket behind a node's address.
@@ -47,19 +77,23 @@
     wire: Wire,
     /// Answers not sent yet.
     pending: usize,
+    /// The request whose long value was last sent here, until the next command.
+    value_of: Option<String>,
 }
 
 /// All nodes and the connections to them.
 pub struct Nodes {
     nodes: Vec<Node>,
     conns: HashMap<Token, Conn>,
-    /// Pending answers by the time they are sent; the flag tells served from failed.
-    answers: BTreeMap<(Instant, u64), (Token, bool)>,
+    /// Pending answers by the time they are sent.
+    answers: BTreeMap<(Instant, u64), (Token, Answer)>,
     /// When nodes recover from a failure.
     recoveries: BTreeSet<(Instant, usize)>,
     sequence: u64,
     service: [Duration; 2],
     pub attempts: Vec<Attempt>,
+    /// Requests for which a node has begun a long value on a connection that it reset.
+    pub reset_values: HashSet<String>,
     pub accepted: u64,
 }
 
@@ -107,6 +141,7 @@
             sequence: 0,
             service,
             attempts: Vec::new(),
+            reset_values: HashSet::new(),
             accepted: 0,
         })
     }
@@ -142,6 +177,7 @@
             if !orderly {
                 conn.wire.reset();
             }
+            self.reset_values.extend(conn.value_of.take());
             false
         });
     }
@@ -160,7 +196,7 @@
                     wire.reset();
                     continue;
                 }
-                self.conns.insert(token, Conn { node, wire, pending: 0 });
+                self.conns.insert(token, Conn { node, wire, pending: 0, value_of: None });
             }
         }
     }
@@ -171,7 +207,9 @@
         let is_closed = conn.wire.ready();
         while let Ok(Some((command, length))) = resp::parse(&conn.wire.input) {
             conn.wire.input.drain(..length);
-            let Some((id, time_left)) = read_command(&command) else { continue };
+            let Some(command) = read_command(&command) else { continue };
+            conn.value_of = None;
+            let (id, time_left) = (command.id.clone(), command.time_left);
             self.attempts.push(Attempt { id, node: conn.node, started_at: now, time_left });
             let failure = self.nodes[conn.node].failure.map(|(failure, _)| failure);
             if failure == Some(Failure::Unresponsive) {
@@ -181,7 +219,7 @@
             let after = min + (max - min).mul_f64(random.random());
             self.sequence += 1;
             conn.pending += 1;
-            self.answers.insert((now + after, self.sequence), (token, failure != Some(Failure::Errors)));
+            self.answers.insert((now + after, self.sequence), (token, Answer::to(&command, failure)));
         }
         if is_closed {
             self.conns.remove(&token);
@@ -193,14 +231,36 @@
         answer.into_iter().chain(self.recoveries.first().map(|(at, _)| *at)).min()
     }
 
+    fn send(&mut self, now: Instant, token: Token, answer: Answer) {
+        let Some(conn) = self.conns.get_mut(&token) else { return };
+        // A part is followed by the reset.
+        conn.pending -= usize::from(!matches!(answer, Answer::PartOfLong(_)));
+        match answer {
+            Answer::Served => conn.wire.write(SERVED),
+            Answer::Failed => conn.wire.write(FAILED),
+            Answer::Long(id) => {
+                conn.wire.write(&long_value::answer());
+                conn.value_of = Some(id);
+            }
+            Answer::PartOfLong(id) => {
+                conn.wire.write(&long_value::answer()[..PART]);
+                conn.value_of = Some(id);
+                self.sequence += 1;
+                self.answers.insert((now + RESET_DELAY, self.sequence), (token, Answer::Reset));
+            }
+            Answer::Reset => {
+                conn.wire.reset();
+                self.reset_values.extend(conn.value_of.take());
+                self.conns.remove(&token);
+            }
+        }
+    }
+
     /// Sends the answers that are due, and ends failures that are over.
     pub fn tick(&mut self, now: Instant) {
         while let Some(entry) = self.answers.first_entry().filter(|entry| entry.key().0 <= now) {
-            let (token, served) = entry.remove();
-            if let Some(conn) = self.conns.get_mut(&token) {
-                conn.pending -= 1;
-                conn.wire.write(if served { SERVED } else { FAILED });
-            }
+            let (token, answer) = entry.remove();
+            self.send(now, token, answer);
         }
         while let Some((at, node)) = self.recoveries.first().copied().filter(|(at, _)| *at <= now) {
             self.recoveries.remove(&(at, node));
@@ -209,14 +269,23 @@
     }
 }
 
-/// Parses the request id and the remaining time out of a command.
-fn read_command(command: &Value) -> Option<(String, Duration)> {
+/// What a node reads of a command.
+struct Command {
+    id: String,
+    /// The remaining time that it states.
+    time_left: Duration,
+    wants_long_value: bool,
+}
+
+fn read_command(command: &Value) -> Option<Command> {
     let Value::Array(Some(words)) = command else { return None };
     let word = |at: usize| match words.get(at) {
         Some(Value::Bulk(Some(bytes))) => Some(String::from_utf8_lossy(bytes).into_owned()),
         _ => None,
     };
     let attributes = word(3)?;
-    let time_left = attributes.split(',').find_map(|pair| pair.strip_prefix("d="))?.parse().ok()?;
-    Some((word(2)?, Duration::from_millis(time_left)))
+    let attribute = |name: &str| attributes.split(',').find_map(|pair| pair.strip_prefix(name));
+    let time_left = Duration::from_millis(attribute("d=")?.parse().ok()?);
+    let volume = u64::from_str_radix(attribute("volume=")?, 16).ok()?;
+    Some(Command { id: word(2)?, time_left, wants_long_value: volume == long_value::VOLUME })
 }
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -15,6 +15,8 @@
 const MAX_HOLD_MS: u64 = 150;
 /// Share of the requests sent on a new connection, except in extended runs.
 const NEW_CONNECTIONS: f64 = 0.15;
+/// Share of the requests of extended runs in whose place a pipeline with a long value is sent.
+const PIPELINES: f64 = 0.2;
 /// Mixed into the seed of extended runs, so that their draws differ from those of plain runs.
 const EXTENDED_SEED_MASK: u64 = 0x6578_7465_6e64;
 /// Share of the extended runs with waves of idle connections, and the limits of these: number of waves, connections of
@@ -48,6 +50,8 @@
     Down { share: f64, lasts: Duration },
     /// Nodes answer with errors.
     Errors { share: f64, lasts: Duration },
+    /// Nodes reset connections in the middle of long values.
+    BreakOff { share: f64, lasts: Duration },
     /// Nodes close or reset idle connections.
     DropIdle { share: f64 },
     /// Clients close connections with a request in flight.
@@ -71,6 +75,8 @@
     pub requests_per_second: f64,
     /// Share of the requests sent on a new connection.
     pub new_connections: f64,
+    /// Share of the requests in whose place a write, the read of a long value and another write are sent at once.
+    pub pipelines: f64,
     /// Deadlines of reads and writes.
     pub deadlines: [Duration; 2],
     /// Connections that are opened, send nothing, and stay open.
@@ -122,6 +128,7 @@
             initiators: *[1, 3, 10, 300].choose(&mut random).unwrap_or(&3),
             requests_per_second: random.random_range(10.0..80.0),
             new_connections: NEW_CONNECTIONS,
+            pipelines: 0.0,
             deadlines: [read, write],
             crowd: if random.random_bool(0.3) { random.random_range(20..200) } else { 0 },
             half_said: random.random_range(0..4),
@@ -134,8 +141,8 @@
         }
     }
 
-    /// Returns the extended plan of a seed: waves of idle connections, half of the requests on new connections, and
-    /// series of signals during shutdown.
+    /// Returns the extended plan of a seed: waves of idle connections, half of the requests on new connections, several
+    /// requests at once with long values that break off, and series of signals during shutdown.
     pub fn draw_extended(seed: u64, short: bool) -> Plan {
         let mut plan = Plan::draw(seed, short);
         let mut random = ChaCha8Rng::seed_from_u64(seed ^ EXTENDED_SEED_MASK);
@@ -151,6 +158,12 @@
         }
         let signals = random.random_range(0..=MAX_END_SIGNALS);
         plan.end_signals = (0..signals).map(|_| end_signal(&mut random)).collect();
+        plan.pipelines = PIPELINES;
+        let share = random.random_range(0.3..1.0);
+        let begins = ms(random.random_range(0..plan.ends.as_millis() as u64 / 2));
+        let lasts = ms(random.random_range(1_000..4_000));
+        plan.faults.push((begins, Fault::BreakOff { share, lasts }));
+        plan.faults.sort_by_key(|(at, _)| *at);
         plan
     }
 
@@ -162,6 +175,7 @@
             initiators: 300,
             requests_per_second: 20.0,
             new_connections: NEW_CONNECTIONS,
+            pipelines: 0.0,
             deadlines: [ms(2_000), ms(3_000)],
             crowd: 0,
             half_said: 0,
--- a/lab/src/soak/rig.rs
+++ b/lab/src/soak/rig.rs
@@ -233,7 +233,12 @@
             self.next_request += Duration::from_secs_f64(gap);
             let opens = self.history.terminated.is_none_or(|at| now < at + CONNECT_AFTER_TERM);
             let (registry, next) = (self.poll.registry(), &mut self.next_token);
-            self.clients.send(now, &mut self.random, registry, opens, || Self::token(next, CLIENT));
+            let token = || Self::token(next, CLIENT);
+            if opens && self.plan.pipelines > 0.0 && self.random.random_bool(self.plan.pipelines) {
+                self.clients.send_pipeline(now, &mut self.random, registry, token);
+            } else {
+                self.clients.send(now, &mut self.random, registry, opens, token);
+            }
         }
     }
 
@@ -310,6 +315,7 @@
             Fault::ResetDiscovery => self.registry.reset(),
             Fault::Hang { share, lasts } => self.failure(share, Failure::Unresponsive, now + lasts),
             Fault::Down { share, lasts } => self.failure(share, Failure::Down, now + lasts),
+            Fault::BreakOff { share, lasts } => self.failure(share, Failure::BreaksOff, now + lasts),
             Fault::Errors { share, lasts } => self.failure(share, Failure::Errors, now + lasts),
             Fault::DropIdle { share } => {
                 let nodes = self.draw_nodes(share);
@@ -362,6 +368,7 @@
         }
         let mut history = self.history;
         (history.requests, history.attempts) = (self.clients.requests, self.nodes.attempts);
+        history.reset_values = self.nodes.reset_values;
         history.listed = self.registry.listed;
         let served = |request: &&super::history::Request| {
             matches!(request.end, Some((_, super::history::End::Answered { served: true })))
