A volume is remembered for as long as a request of it is open

Cause: Scheduler::prune forgot a volume that nobody had asked for during the longest deadline and ten seconds, also with a request queued. Such an upload is open for up to 20 s more than its class's deadline.

Evidence: the new test of tests/failures.rs ends with the same panic at the same line without the change.

Change: Scheduler::prune_volumes keeps the volumes of open requests, which are read once in two seconds and bounded by the descriptors.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,7 +3,7 @@
 //! and the handling of events; docs/design.md compares the design with the paper that it follows. Decisions
 //! are in modules: `classes` (controllers, arbiter, slots), `dispatch` (choice of request and node), `guards`
 //! (rules for attempts), `need` (cost and admission level), `overdue` (slow attempts), `final_answers`
-//! (denials). `node_table`, `queue`, `shard_rates` and `volume` keep state.
+//! (denials), `prune` (state that is dropped). `node_table`, `queue`, `shard_rates` and `volume` keep state.
 
 pub mod carry;
 mod classes;
@@ -14,6 +14,7 @@
 mod node;
 mod node_table;
 mod overdue;
+mod prune;
 mod queue;
 pub mod reconfigure;
 mod shard_rates;
@@ -347,33 +348,6 @@
         self.prune();
     }
 
-    /// Drops state that no rule needs any more.
-    fn prune(&mut self) {
-        let now = self.now;
-        let window = self.settings.rules.retry_budget.map_or(Duration::ZERO, |it| it.window) + INTERVAL;
-        self.accepted_times.retain(|at| *at + window > now);
-        self.retry_times.retain(|at| *at + window > now);
-        self.key_queues.retain(|_, queue| !queue.waiting.is_empty() || queue.settle_until >= now);
-        self.shard_rates.prune(now.saturating_sub(LEVEL_MEMORY + self.settings.rules.slow_start_time));
-        self.nodes.remove_gone();
-        self.reset_stuck_latencies();
-        // A volume that is used again starts with its limit as after a restart, never with more than it had.
-        let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
-        self.volumes.retain(|_, volume| now.saturating_sub(volume.asked.updated_at) < longest + LEVEL_MEMORY);
-    }
-
-    /// Resets latencies that are so high that no request is sent: without answers they would never change.
-    fn reset_stuck_latencies(&mut self) {
-        let (target, old) = (min_latency_target(&self.settings), self.now.saturating_sub(2 * LEVEL_MEMORY));
-        let stuck = |it: &&Node| {
-            it.in_flight.is_empty() && it.optimistic_latency() > target && it.level_offset.updated_at < old
-        };
-        let ids: Vec<NodeId> = self.nodes.iter().filter(stuck).map(|node| node.entry.node).collect();
-        for id in ids {
-            self.nodes.change(id, |node| node.latency = None);
-        }
-    }
-
     /// Adds the time since the last call to each node's demand, for each request in flight or queued there.
     fn integrate_demand(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.now).min(INTERVAL).as_secs_f64();
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -770,3 +770,22 @@
     }
     assert!(initiator.sent().len() > before);
 }
+
+/// Guards against a panic (review/1, "no entry found for key"): the volume of a long upload was forgotten while the
+/// upload waited for a node of its shard, and its cost was asked for when the node was back.
+#[test]
+fn a_request_that_waits_longer_than_its_volume_is_remembered_is_sent_when_its_shard_has_a_node_again() {
+    let mut initiator = Initiator::new(safe(), &[node(1, 0)]);
+    let upload = NewRequest { deadline: initiator.now + ms(30_000), ..initiator.new_request(0, 0, 0) };
+    initiator.handle(&[Event::Request(upload.clone())]);
+    assert_eq!(initiator.sent(), [upload.id]);
+    let gone = NodeEntry { state: NodeState::Gone, ..node(1, 0) };
+    initiator.list(ListKind::Delta, &[gone]);
+    initiator.end(upload.id, 0, 1, Outcome::NotConnected);
+    // Longer than the longest deadline and the time for which levels are remembered.
+    initiator.run(ms(20_000));
+    assert_eq!(initiator.sent(), [upload.id]);
+    initiator.list(ListKind::Delta, &[node(2, 0)]);
+    initiator.run(ms(100));
+    assert_eq!(initiator.sent(), [upload.id; 2]);
+}
