Memory of a long value stays granted while the value waits behind another answer

Symptom: none seen in service; found by reading. A long value that is whole waits behind an earlier answer, and INFO shows long_value_bytes:0: the budget grants the same memory to others once more.

Cause: Front::flush dropped the grants when nothing was unwritten and all values were received, without regard to what the session holds back.

Change: a grant stays until its own value was handed to the connection and written (Protocol::is_unanswered).

--- a/src/front/answers.rs
+++ b/src/front/answers.rs
@@ -147,8 +147,11 @@
         if client.all_written() || unwritten < previously_unwritten {
             client.last_write_progress = now;
         }
-        if unwritten == 0 && client.streams.iter().all(|stream| stream.finished) {
-            client.streams.clear();
+        if unwritten == 0 {
+            let (protocol, session) = (&self.protocol, &client.session);
+            client
+                .streams
+                .retain(|stream| !stream.finished || protocol.is_unanswered(session, stream.sequence));
         }
         let granted: usize =
             client.streams.iter().filter_map(|stream| stream.grant.as_ref()).map(Grant::bytes).sum();
--- a/src/front/protocol.rs
+++ b/src/front/protocol.rs
@@ -50,6 +50,11 @@
         None
     }
 
+    /// Whether the answer to command number `_sequence` is not written yet, because it or an earlier one is incomplete.
+    fn is_unanswered(&self, _: &Self::Session, _sequence: u64) -> bool {
+        false
+    }
+
     /// Bytes of answers that are held back until earlier commands are answered.
     fn buffered_answer_bytes(&self, _: &Self::Session) -> usize {
         0
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -190,6 +190,10 @@
         Some(UnfinishedAnswer { request, sequence, has_successors, bytes, begun: &mut next.begun })
     }
 
+    fn is_unanswered(&self, session: &Session, sequence: u64) -> bool {
+        session.pending.iter().any(|pending| pending.sequence == sequence)
+    }
+
     fn buffered_answer_bytes(&self, session: &Session) -> usize {
         let answers = session.pending.iter().filter_map(|pending| pending.answer.as_ref());
         answers.map(Vec::len).sum()
--- a/tests/net/long_values.rs
+++ b/tests/net/long_values.rs
@@ -191,6 +191,26 @@
     assert_eq!(client.receive(), bulk(b"0000000000000001"));
 }
 
+/// Guards against memory that is granted twice: a long value that is whole and waits behind another answer still takes up
+/// what it was granted. The grant was returned when the connection had nothing unwritten.
+#[test]
+fn the_memory_of_a_whole_value_stays_granted_while_it_waits_behind_another_answer() {
+    let gate = Gate::default();
+    let (slow, long) = (node_behind(&gate), node_that_breaks_off(0));
+    let discovery = Discovery::start(&[("s-1", slow.address, 1), ("s-2", long.address, 2)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    client.request(1, 1, "", None);
+    client.request(2, 2, "", None);
+    program.wait_for_info("answers_served:1");
+    let granted = program.info_number("long_value_bytes");
+    gate.open();
+    assert_eq!(client.receive(), bulk(b"v"));
+    assert!(client.receive() == bulk(&long_value()));
+    assert_eq!(granted, LONG as u64);
+    program.wait_for_info("long_value_bytes:0");
+}
+
 /// Known failure: requests behind a value that memory has no room for are lost with it if it breaks off (issue 42).
 #[test]
 fn requests_behind_a_long_value_without_memory_survive_its_break() {
