--- a/src/conn/tests.rs
+++ b/src/conn/tests.rs
@@ -35,6 +35,7 @@
     assert_eq!(input, b"ab");
 }
 
+/// Guards against an answer that counts as begun although its client has no byte of it.
 #[test]
 fn output_that_a_full_socket_does_not_accept_is_not_begun_and_stays_with_the_caller() {
     let poll = mio::Poll::new().unwrap();
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -47,6 +47,14 @@
         self.carry_out(Action::Send { id, node: NodeId(3), give_up_at, begin_by: give_up_at })
     }
 
+    /// Accepts and sends a request, and begins to stream its answer. Returns its id, and where the answer goes.
+    fn stream(&mut self) -> (RequestId, Origin) {
+        let id = self.accept(0);
+        self.send(id);
+        let origin = self.core.begin_stream(AttemptId { request: id, number: 0 });
+        (id, origin.unwrap())
+    }
+
     fn end(&mut self, request: RequestId, number: u32, outcome: Outcome) -> Vec<Effect> {
         let ended = AttemptResult { value: b"v".to_vec(), ..AttemptResult::without_reply(outcome) };
         self.core.attempt_ended(self.now, AttemptId { request, number }, ended);
@@ -239,9 +247,7 @@
 fn a_streamed_answer_is_final_only_once_a_part_of_it_was_passed_on() {
     for committed in [false, true] {
         let mut fixture = Fixture::new();
-        let id = fixture.accept(0);
-        fixture.send(id);
-        let origin = fixture.core.begin_stream(AttemptId { request: id, number: 0 }).unwrap();
+        let (id, origin) = fixture.stream();
         if committed {
             fixture.core.commit_stream(id);
         }
@@ -258,12 +264,11 @@
     }
 }
 
+/// Guards against a refusal of a value that is there and only waits for earlier answers.
 #[test]
 fn a_streamed_answer_that_waits_for_earlier_ones_is_not_overdue_and_is_served_when_it_is_whole() {
     let mut fixture = Fixture::new();
-    let id = fixture.accept(0);
-    fixture.send(id);
-    let origin = fixture.core.begin_stream(AttemptId { request: id, number: 0 }).unwrap();
+    let (id, origin) = fixture.stream();
     assert_eq!(fixture.advance(900), []);
     assert_eq!(fixture.advance(1100), [Effect::ReleaseStream { origin }], "once, at its deadline");
     assert_eq!(fixture.advance(1000), []);
@@ -272,25 +277,23 @@
     assert_eq!(fixture.core.next_timer(), None);
 }
 
+/// Guards against a request without any answer: its timer has expired while its answer was streamed.
 #[test]
 fn a_streamed_answer_that_breaks_off_after_the_deadline_is_replaced_by_another_one() {
     let mut fixture = Fixture::new();
-    let id = fixture.accept(0);
-    fixture.send(id);
-    let origin = fixture.core.begin_stream(AttemptId { request: id, number: 0 }).unwrap();
+    let (id, origin) = fixture.stream();
     fixture.advance(2000);
     assert_eq!(fixture.end(id, 0, Outcome::Reset), [Effect::DiscardStream { origin }]);
     assert_eq!(Fixture::answers(&fixture.advance(1)), [Answer::Failed], "without a decision of the planner");
     assert_eq!(fixture.core.open_requests(), 0);
 }
 
+/// Guards against a part of a value before the answer that replaces it.
 #[test]
 fn a_request_that_is_ended_while_its_streamed_answer_waits_gets_one_answer() {
     let mut fixture = Fixture::new();
-    let id = fixture.accept(0);
-    fixture.send(id);
+    let (id, origin) = fixture.stream();
     let attempt = AttemptId { request: id, number: 0 };
-    let origin = fixture.core.begin_stream(attempt).unwrap();
     fixture.core.terminate(id);
     let stop = Effect::Stop { attempt, outcome: Outcome::Cancelled };
     let answer = Effect::Answer { origin, answer: Answer::Failed };
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -1,6 +1,6 @@
 //! Connections to storage nodes and the attempts on them. The protocol spoken on a connection is a [`Session`],
 //! implemented once per protocol ([`resp`], [`iscsi`]); connection handling, timeouts and reuse are the same for all.
-//! ||
+//!
 //! A connection carries one attempt at a time: a pipelined answer would wait behind earlier answers, and cancelling
 //! one attempt by closing the connection would cancel the others too.
 
--- a/tests/net/long_values.rs
+++ b/tests/net/long_values.rs
@@ -1,6 +1,8 @@
-//! Long values that break off at their node, beside other requests of the same connection.
+//! Long values: within the budget of memory, of slow peers, and broken off beside other requests of the same connection.
 
-use crate::helper::{bulk, eventually, Client, Discovery, Gate, Node, Program, Reply, Setup};
+use crate::helper::*;
+use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant};
 use topazpath::resp::Value;
 
@@ -33,6 +35,106 @@
     })
 }
 
+/// A body in which each byte depends on its position.
+fn pattern(length: usize) -> Vec<u8> {
+    (0..length).map(|at| (at % 251) as u8).collect()
+}
+
+#[test]
+fn concurrent_long_values_beyond_the_memory_budget_pass_unchanged_in_both_directions() {
+    let value = Arc::new(pattern(4 * 1024 * 1024));
+    let stored = value.clone();
+    let node = Node::start(move |_, words| Reply::Value(words.get(4).unwrap_or(&stored).clone()));
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let setup = Setup { memory_mb: 24, aim_ms: 4000, ..Setup::default() };
+    let program = Program::start(&discovery, setup);
+    let clients: Vec<_> = (0..8)
+        .map(|number| {
+            let (address, value) = (program.resp, value.clone());
+            thread::spawn(move || {
+                let (mut client, start) = (Client::connect(address), Instant::now());
+                // The bodies differ in length, so that a mix-up is noticed.
+                let body = (number % 2 == 0).then(|| &value[number as usize..]);
+                loop {
+                    assert!(start.elapsed() < WAIT_LIMIT, "client {number} is never served");
+                    client.request(number, -1, "", body);
+                    // A slow reader: the answer has to be buffered somewhere.
+                    thread::sleep(Duration::from_millis(300));
+                    match client.receive() {
+                        Value::Bulk(Some(got)) => {
+                            return assert!(
+                                got == body.unwrap_or(&value),
+                                "client {number} got another value"
+                            )
+                        }
+                        // Retries as the answer says: all clients together exceed what one node takes at a time.
+                        Value::Error(line) if line.starts_with(b"BUSY") => {
+                            thread::sleep(Duration::from_millis(500));
+                        }
+                        other => panic!("client {number}: {other:?}"),
+                    }
+                }
+            })
+        })
+        .collect();
+    // A short command does not wait behind them.
+    let start = Instant::now();
+    let mut client = Client::connect(program.resp);
+    client.send(&[b"PING"]);
+    assert_eq!(client.receive(), Value::Simple(b"PONG".to_vec()));
+    assert!(start.elapsed() < Duration::from_millis(500), "{:?}", start.elapsed());
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    assert!(program.memory_kb() < 24 * 1024, "{} kB", program.memory_kb());
+    program.wait_for_info("long_value_bytes:0");
+}
+
+#[test]
+fn slow_long_answers_of_a_node_do_not_delay_its_other_requests() {
+    let node = Node::start(|_, words| match words[1].last() {
+        Some(b'1') => Reply::Slow(pattern(200_000), Duration::from_millis(300)),
+        _ => Reply::Value(b"v".to_vec()),
+    });
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut slow: Vec<Client> = (0..6).map(|_| Client::connect(program.resp)).collect();
+    for (at, client) in slow.iter_mut().enumerate() {
+        client.request(1, 3, "", None);
+        eventually("the attempt is in flight", || (node.count() > at).then_some(()));
+    }
+    let (mut client, start) = (Client::connect(program.resp), Instant::now());
+    for _ in 0..20 {
+        client.request(2, 3, "", None);
+        assert_eq!(client.receive(), bulk(b"v"));
+    }
+    assert!(start.elapsed() < Duration::from_millis(1000), "{:?}", start.elapsed());
+    slow.iter_mut().for_each(|client| assert_eq!(client.receive(), bulk(&pattern(200_000))));
+}
+
+#[test]
+fn an_attempt_is_abandoned_at_once_if_the_client_closes_within_a_long_body() {
+    let node = Node::echo();
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    // The memory budget is too small for the whole body, so it is streamed to the node as it arrives.
+    let program = Program::start(&discovery, Setup { memory_mb: 8, ..Setup::default() });
+    let mut client = Client::connect(program.resp);
+    let list = b"c=write,t=plus,d=4000,volume=00000000000000a0,units=2,shard=-1,hosts=1";
+    let length = format!("${}\r\n", list.len());
+    let head = [
+        &b"*5\r\n$7\r\nOBJ.PUT\r\n$16\r\n0000000000000001\r\n$2\r\nid\r\n"[..],
+        length.as_bytes(),
+        list,
+        b"\r\n$4000000\r\n",
+    ];
+    client.write(&head.concat());
+    client.write(&pattern(300_000));
+    let mut other = Client::connect(program.resp);
+    eventually("the attempt is in flight", || other.info().contains("attempts_out:1\r\n").then_some(()));
+    drop(client);
+    eventually("the attempt is abandoned", || other.info().contains("attempts_out:0\r\n").then_some(()));
+    assert!(other.info().contains("requests_open:0\r\n"));
+    assert_eq!(node.count(), 0, "the node received no complete command");
+}
+
 /// Guards against the loss of all requests of a connection when a node breaks off a long value behind them (review/3).
 /// The client got nothing, and the log showed the attempts of the other requests cancelled 0.1 ms after the reset: the
 /// answer was final for its client once it had begun at the node, and its break ended the connection.
