--- a/review/lib-2/iscsi.py
+++ b/review/lib-2/iscsi.py
@@ -28,19 +28,19 @@
 
 
 class Session:
-    def __init__(self, address, target, record):
+    def __init__(self, address, target, record, number=1):
         self.record = record
         self.sock = socket.create_connection(pair(address), 2)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.buffer = b""
         self.sn, self.stat_sn, self.tag = 1, 0, 100
-        keys = ["InitiatorName=iqn.2026-12.example:town", "SessionType=Normal", "TargetName=" + target,
+        keys = [f"InitiatorName=iqn.2026-12.example:town-{number}", "SessionType=Normal", "TargetName=" + target,
                 "HeaderDigest=None", "DataDigest=None", "InitialR2T=Yes", "ImmediateData=No",
                 "MaxRecvDataSegmentLength=65536", "MaxBurstLength=262144", "FirstBurstLength=65536",
                 "MaxConnections=1", "MaxOutstandingR2T=1", "ErrorRecoveryLevel=0"]
         header, data = pdu(0x43, FINAL | 1 << 2 | 3, 1, "".join(key + "\0" for key in keys).encode(),
                            fields=[(24, self.sn)])
-        header[8:14] = bytes([0x80, 0, 1, 0, 0, 1])
+        header[8:14] = bytes([0x80, 0, 1, 0, number >> 8, number & 0xff])
         self.sock.sendall(encode(header, data))
         answer, _ = self.receive(3)
         if answer[0] & 0x3f != 0x23 or answer[36] != 0 or answer[1] & 3 != 3:
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -103,18 +103,20 @@
         self.processes.append(process)
         return process
 
-    def initiator(self, name, config, **files):
-        """Starts an initiator. `files` gives the text of the optional parts' files, by TOPAZPATH_ variable."""
-        os.makedirs(self.path(name + ".tmp"), exist_ok=True)
+    def initiator(self, name, config, folder=None, **files):
+        """Starts an initiator. `folder` names its $TMPDIR, which two processes of one initiator share; `files` gives
+        the text of the optional parts' files, by TOPAZPATH_ variable."""
+        folder = self.path(folder or name + ".tmp")
+        os.makedirs(folder, exist_ok=True)
         config_path = self.write(name + ".json", json.dumps(config))
         environment = {
             "NODE_NAME": config["name"], "NODE_LISTEN": config["listen"], "NODE_DISCOVERY": config["discovery"],
-            "NODE_CONFIG": config_path, "TMPDIR": self.path(name + ".tmp"), "TOPAZPATH_LOG": os.environ.get("REVIEW_LOG", "info"),
+            "NODE_CONFIG": config_path, "TMPDIR": folder, "TOPAZPATH_LOG": os.environ.get("REVIEW_LOG", "info"),
         }
         if config.get("control"):
             environment["NODE_CONTROL"] = config["control"]
         for part in ("ISCSI", "PLANNERS", "VRRP", "FLEET"):
-            text = files.get(part.lower(), "enabled = false\n" if part == "NONE" else None)
+            text = files.get(part.lower())
             environment["TOPAZPATH_" + part] = (
                 self.path(f"{name}.no-{part.lower()}") if text is None else self.write(f"{name}.{part.lower()}.toml", text))
         process = self.spawn(deploy_command("run"), environment, name + ".log")
@@ -137,6 +139,21 @@
             time.sleep(0.02)
         raise CouldNotRun("the program is not ready in time")
 
+    def wait_operator_yes(self, process, control, seconds=6):
+        """Waits until a process says yes to `ready` at its operators' door, which is its own while another process of
+        the same initiator still answers at the clients' address."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if process.poll() is not None:
+                raise CouldNotRun(f"the new program ended with {process.returncode}")
+            try:
+                if call_operator(lambda text: None, control, "ready").startswith("200"):
+                    return
+            except OSError:
+                pass
+            time.sleep(0.02)
+        raise CouldNotRun("the new program does not say yes in time")
+
     def log_of(self, name):
         with open(self.path(name + ".log"), "rb") as file:
             return file.read().decode("utf-8", "replace")
