--- a/review/8/case-2.py
+++ b/review/8/case-2.py
@@ -1,98 +1,100 @@
-"""An operator drains the initiator while a client's commands, sent at once before the call, are being answered."""
+"""An operator drains the initiator while an iSCSI client sends the data of a write that it was asked for."""
 
 import os
 import socket
 import sys
-import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
-from standins import (COULD_NOT_RUN, IDS, TROUBLE, CouldNotRun, Discovery, Ended, Stream, Target, call_operator,  # noqa: E402
-                      configuration, free_address, get, main, pair, served)
+from iscsi import Session  # noqa: E402
+from standins import (IDS, TROUBLE, CouldNotRun, Discovery, Ended, Target, call_operator, configuration,  # noqa: E402
+                      free_address, main, served)
 
-COMMANDS = 40
-DEADLINE_MS = 2000
+NAME = "iqn.2026-12.example:records"
+BLOCK, BLOCKS = 512, 64
+PIECE = 4096
+PAUSE_S = 0.12
 WORK_S = 0.06
-CORES = 2
+# The class of the unit's writes is waited for this long; half a second later an answer is only worth nothing.
+LONGEST_S, LATE_S = 3.0, 0.55
 ROUNDS = 3
-# An answer may be half a second late and is then only worth nothing; 50 ms are the slack of limits on sockets.
-LATEST_S = DEADLINE_MS / 1000 + 0.55
+UNITS = f"""enabled = true
+listen = "LISTEN"
+[[target]]
+name = "{NAME}"
+[[target.unit]]
+lun = 0
+volume = "00000000000000a0"
+plan = "plus"
+read = "read"
+write = "write"
+shard = 0
+blocks = 2097152
+block_bytes = {BLOCK}
+unit_bytes = 8192
+"""
 
 
-def unread_bytes(client):
-    """Bytes that have arrived at the initiator's end of the connection and that its process has not read."""
-    def form(address):
-        host, port = address
-        number = int.from_bytes(socket.inet_aton(host), sys.byteorder)
-        return "%08X:%04X" % (number, port)
-    local, remote = form(client.getpeername()), form(client.getsockname())
-    with open("/proc/net/tcp", encoding="ascii") as table:
-        for line in table:
-            fields = line.split()
-            if fields[1] == local and fields[2] == remote:
-                return int(fields[4].split(":")[1], 16)
-    return None
+def write(record, session, block, pause, before_piece=lambda number: None):
+    """One write whose data are sent in pieces. Returns its status, or None, and when its last byte was sent."""
+    body = os.urandom(BLOCK * BLOCKS)
+    tag = session.command(True, block, BLOCKS, len(body))
+    header, _ = session.receive(3)
+    if header[0] & 0x3f != 0x31:
+        raise CouldNotRun(f"no data are asked for, but {header[0]:#x}")
+    at, length = int.from_bytes(header[40:44], "big"), int.from_bytes(header[44:48], "big")
+    record(f"iSCSI client: write {tag}, is asked for {length} bytes")
+    pieces = range(at, at + length, PIECE)
+    for number, offset in enumerate(pieces):
+        before_piece(number)
+        last = number + 1 == len(pieces)
+        session.data_out(tag, int.from_bytes(header[20:24], "big"), number, offset, body[offset:offset + PIECE], last)
+        if not last:
+            time.sleep(pause)
+    sent = record.now()
+    record(f"iSCSI client: write {tag}, the last byte is sent")
+    try:
+        header, _ = session.receive(LONGEST_S + LATE_S + 4)
+    except socket.timeout:
+        return None, sent, "no answer, and the connection stays open"
+    except (Ended, ConnectionError):
+        return None, sent, "the connection ended without an answer"
+    return header[3] if header[0] & 0x3f == 0x21 else None, sent, f"answer {header[0]:#x}, status {header[3]:#x}"
 
 
 def one_round(record, platform, number):
-    slots = threading.Semaphore(CORES)
-
     def work(request, reply):
-        with slots:
-            time.sleep(WORK_S)
-        reply(served(b"value of " + request["piece"].encode()))
+        time.sleep(WORK_S)
+        reply(served(b"kept"))
 
     discovery = Discovery(record)
     target = Target(record, "s-1", 0, work)
     discovery.tell("s-1", target.address, 0)
-    listen, control = free_address(), free_address()
-    process = platform.initiator(
-        f"n{number}", configuration("n1", listen, discovery.address, control=control, sockets=256))
+    listen, control, front = free_address(), free_address(), free_address()
+    process = platform.initiator(f"n{number}", configuration("n1", listen, discovery.address, control=control),
+                                 iscsi=UNITS.replace("LISTEN", front))
     platform.wait_ready(process, listen)
     time.sleep(0.5)
-    client = socket.create_connection(pair(listen), 2)
-    stream = Stream(client)
-    client.sendall(get(IDS.next(), 0))
-    if stream.reply()[:8] != b"value of":
-        raise CouldNotRun("the first request is not served")
-    ids, pieces = [IDS.next() for _ in range(COMMANDS)], [IDS.next() for _ in range(COMMANDS)]
-    sent_at = record.now()
-    client.sendall(b"".join(get(one, 0, DEADLINE_MS, piece=piece) for one, piece in zip(ids, pieces)))
-    record(f"client: sent {COMMANDS} commands at once, {ids[0]} to {ids[-1]}")
-    time.sleep(0.1)
-    unread = unread_bytes(client)
-    record(f"platform: the initiator's process has left {unread} bytes of them unread")
-    if TROUBLE:
-        if not call_operator(record, control, "drain").startswith("200"):
+    session = Session(front, NAME, record)
+    status, _, what = write(record, session, 0, 0)
+    record(f"iSCSI client: {what}")
+    if status != 0:
+        raise CouldNotRun("the first write is not served")
+
+    def drain(piece):
+        if piece == 1 and TROUBLE and not call_operator(record, control, "drain").startswith("200"):
             raise CouldNotRun("the drain was refused")
-    answered, late, ended = 0, 0, None
-    try:
-        for one, piece in zip(ids, pieces):
-            client.settimeout(max(0.01, sent_at + LATEST_S + 2 - record.now()))
-            reply = stream.reply()
-            answered += 1
-            late += record.now() > sent_at + LATEST_S
-            if isinstance(reply, bytes) and reply != b"value of " + piece.encode():
-                record(f"client: foreign value for {one}: {reply!r}")
-                return "a foreign value"
-            record(f"client: answer to {one}: {reply if isinstance(reply, str) else 'served'}")
-    except (Ended, ConnectionError):
-        ended = record.now()
-        record(f"client: the initiator ended the connection, {COMMANDS - answered} commands have no answer")
-    except socket.timeout:
-        record(f"client: nothing more came, {COMMANDS - answered} commands have no answer")
-    ran = {request["id"] for request in target.ran}
-    record(f"round {number}: {answered} of {COMMANDS} answered, {late} of them late, {len(ran & set(ids))} begun at the"
-           f" target, unread before the call: {unread}")
+
+    status, sent, what = write(record, session, 128, PAUSE_S, drain)
+    took = record.now() - sent
+    record(f"round {number}: {what} after {took:.3f} s")
     process.terminate()
-    client.close()
-    if answered == COMMANDS:
-        return None
-    if ended is not None and unread != 0:
-        # It may have closed between requests, over some that it had not read.
-        return None
-    return f"{COMMANDS - answered} of {COMMANDS} commands that it had read got no answer"
+    if status is None:
+        return f"a write that was sent whole got no final answer: {what}"
+    if took > LONGEST_S + LATE_S:
+        return f"a write was answered after {took:.3f} s"
+    return None
 
 
 def case(record, platform):
