--- a/review/6/case-2.py
+++ b/review/6/case-2.py
@@ -1,125 +1,89 @@
-"""Long values beyond what memory holds: one of them is answered on a connection that carries further commands."""
+"""Clients of two units of the second front, of two volumes on one shard, write and read back blocks of their own."""
 
 import os
-import socket
 import sys
 import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
-from standins import (IDS, TROUBLE, CouldNotRun, Discovery, Ended, Stream, Target, configuration, free_address,  # noqa: E402
-                      get, main, pair, served)
+from iscsi import Session  # noqa: E402
+from standins import TROUBLE, CouldNotRun, Discovery, Target, configuration, free_address, main, served  # noqa: E402
 
-MEMORY_MB = 32
-LONG, SHORT = 4 * 1024 * 1024, 48 * 1024
-READERS = 4
-WORK_S = 0.06
-DEADLINE_MS = 6000
-# The slow readers read for this long. The pages let peers need seconds.
-READ_S = 4.0
-LATE_S = 0.55
-
-
-def value(piece, length):
-    seed = piece.encode() + b"."
-    return (seed * (length // len(seed) + 1))[:length]
+# The first is the volume of the protocol page's example.
+VOLUMES = ["00000003b4d60021", "00000002b4d60021"]
+BLOCK, COUNT = 512, 4
+WORK_S = 0.02
+UNITS = "enabled = true\nlisten = \"LISTEN\"\n" + "".join(f"""[[target]]
+name = "iqn.2026-12.example:records-{number}"
+[[target.unit]]
+lun = 0
+volume = "{volume}"
+plan = "plus"
+read = "read"
+write = "write"
+shard = 0
+blocks = 2097152
+block_bytes = {BLOCK}
+unit_bytes = 8192
+""" for number, volume in enumerate(VOLUMES))
 
 
 def case(record, platform):
-    lengths = {}
+    pieces, lock = {}, threading.Lock()
 
     def work(request, reply):
+        """A target keeps each piece of data as it was written last."""
         time.sleep(WORK_S)
-        reply(served(value(request["piece"], lengths[request["piece"]])))
+        with lock:
+            if request["verb"] == "OBJ.PUT":
+                pieces[request["piece"]] = request["body"]
+            kept = pieces.get(request["piece"])
+        record(f"s-1: {request['verb']} of piece {request['piece']} for volume {request['fields']['volume']}")
+        reply(b"-ERR failed\r\n" if kept is None else served(kept))
 
     discovery = Discovery(record)
-    targets = [Target(record, f"s-{group}", group, work) for group in range(4)]
-    for target in targets:
-        discovery.tell(target.name, target.address, target.group)
-    listen = free_address()
-    process = platform.initiator("n1", configuration("n1", listen, discovery.address, memory_mb=MEMORY_MB, sockets=256))
+    target = Target(record, "s-1", 0, work)
+    discovery.tell("s-1", target.address, 0)
+    listen, front = free_address(), free_address()
+    process = platform.initiator("n1", configuration("n1", listen, discovery.address), iscsi=UNITS.replace("LISTEN", front))
     platform.wait_ready(process, listen)
     time.sleep(0.5)
+    sessions = [Session(front, f"iqn.2026-12.example:records-{number}", record, number + 1) for number in range(2)]
 
-    def ask(client, shard, length):
-        identity, piece = IDS.next(), IDS.next()
-        lengths[piece] = length
-        client.sendall(get(identity, shard, DEADLINE_MS, name="bulk", piece=piece, units=8))
-        return identity, piece
+    def content(unit, block):
+        return (b"unit %d block %d " % (unit, block) * BLOCK)[:BLOCK]
 
-    wrong, finished = [], []
+    def write(unit, block):
+        session = sessions[unit]
+        tag = session.command(True, block, 1, BLOCK)
+        header, _ = session.receive(5)
+        session.data_out(tag, int.from_bytes(header[20:24], "big"), 0, 0, content(unit, block), True)
+        header, _ = session.receive(5)
+        record(f"client of unit {unit}: wrote block {block}, status {header[3]:#x}")
+        if header[3]:
+            raise CouldNotRun("a write was not served")
 
-    def slow_reader(number):
-        client = socket.socket()
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
-        client.connect(pair(listen))
-        identity, piece = ask(client, 1 + number % 3, LONG)
-        record(f"slow reader {number}: asked for {identity}, {LONG} bytes")
-        stream = Stream(client)
-        client.settimeout(30)
-        try:
-            head = stream.line()
-            if not head.startswith(b"$"):
-                record(f"slow reader {number}: {head.decode()}")
-                return
-            got, begun = [], record.now()
-            left = int(head[1:])
-            while left:
-                piece_bytes = stream.exactly(min(left, 65536))
-                got.append(piece_bytes)
-                left -= len(piece_bytes)
-                # Evenly over the time that it takes to read.
-                ahead = begun + READ_S * (1 - left / LONG) - record.now()
-                time.sleep(max(0.0, ahead))
-            if b"".join(got) != value(piece, LONG):
-                wrong.append(identity)
-            finished.append(number)
-            record(f"slow reader {number}: has the whole value")
-        except (Ended, OSError) as why:
-            record(f"slow reader {number}: {why!r}")
+    def read(unit, block):
+        session = sessions[unit]
+        session.command(False, block, 1, BLOCK)
+        header, data = session.receive(5)
+        record(f"client of unit {unit}: read block {block}, status {header[3]:#x}: {data[:15]!r}")
+        return header[3], data
 
-    readers = [threading.Thread(target=slow_reader, args=(number,), daemon=True) for number in range(READERS)]
+    for block in range(COUNT):
+        write(0, block)
     if TROUBLE:
-        for reader in readers:
-            reader.start()
-        time.sleep(1.0)
-    # It reads as fast as it can, and has sent its commands at once.
-    client = socket.create_connection(pair(listen), 2)
-    asked = []
-    asked_at = record.now()
-    for length in (LONG, SHORT, SHORT):
-        asked.append((*ask(client, 0, length), length))
-    record(f"client: asked at once for {', '.join(f'{one[0]} ({one[2]} bytes)' for one in asked)}")
-    stream = Stream(client)
-    answered = 0
-    last = asked_at + DEADLINE_MS / 1000 + LATE_S
-    # Answers come in the order of the commands, and the time before the first bytes counts; what comes after them may
-    # take a peer seconds. The case waits for all of that and as long again.
-    client.settimeout(2 * (DEADLINE_MS / 1000 + READ_S))
-    try:
-        for identity, piece, length in asked:
-            reply = stream.reply()
-            if isinstance(reply, bytes) and reply != value(piece, length):
-                return f"a foreign value for {identity}"
-            answered += 1
-            record(f"client: answer to {identity}: {reply if isinstance(reply, str) else f'{len(reply)} bytes'}")
-    except socket.timeout:
-        at = f"{len(stream.buffer) - stream.at} bytes of the next answer"
-        record(f"client: nothing more came until {record.now() - asked_at:.1f} s after the commands; it has {at}")
-    except (Ended, ConnectionError) as why:
-        record(f"client: the connection ended: {why!r}")
-    ran = {request["id"] for target in targets for request in target.ran}
-    record(f"{answered} of {len(asked)} answered; begun at the target: {len(ran & {one[0] for one in asked})}")
-    for reader in readers:
-        if TROUBLE:
-            reader.join(10)
-    record(f"slow readers with their whole value: {sorted(finished)}, with a wrong one: {wrong}")
-    if wrong:
-        return "a slow reader got a wrong value"
-    if answered < len(asked):
-        return f"{len(asked) - answered} of {len(asked)} requests that targets served got no whole answer"
-    return None
+        for block in range(COUNT):
+            write(1, block)
+    wrong = []
+    for unit in range(2 if TROUBLE else 1):
+        for block in range(COUNT):
+            status, data = read(unit, block)
+            if status == 0 and data != content(unit, block):
+                wrong.append((unit, block, data[:15].decode()))
+    record(f"{len(wrong)} blocks read with status GOOD hold other data than their client wrote: {wrong}")
+    return f"{len(wrong)} blocks were read with the data of another volume" if wrong else None
 
 
 main(FOLDER, case)
--- a/review/9/case-2.py
+++ b/review/9/case-2.py
@@ -1,93 +1,106 @@
-"""Long values beyond what memory holds, and a client that stops two bytes before the end of a write and stays."""
+"""An operator drains the initiator while an iSCSI client sends the data of a write that it was asked for."""
 
 import os
 import socket
 import sys
-import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
-from standins import (IDS, TROUBLE, CouldNotRun, Discovery, Ended, Stream, Target, configuration, free_address,  # noqa: E402
-                      get, main, pair, put, served)
+from iscsi import Session  # noqa: E402
+from standins import (IDS, TROUBLE, CouldNotRun, Discovery, Ended, Target, call_operator, configuration,  # noqa: E402
+                      free_address, main, served)
 
-MEMORY_MB = 32
-LONG = 4 * 1024 * 1024
-READERS = 4
+NAME = "iqn.2026-12.example:records"
+BLOCK, BLOCKS = 512, 64
+PIECE = 4096
+PAUSE_S = 0.12
 WORK_S = 0.06
-READ_S = 4.0
-STAYS_S = 6.0
+# The class of the unit's writes is waited for this long; half a second later an answer is only worth nothing.
+LONGEST_S, LATE_S = 3.0, 0.55
+ROUNDS = 3
+UNITS = f"""enabled = true
+listen = "LISTEN"
+[[target]]
+name = "{NAME}"
+[[target.unit]]
+lun = 0
+volume = "00000000000000a0"
+plan = "plus"
+read = "read"
+write = "write"
+shard = 0
+blocks = 2097152
+block_bytes = {BLOCK}
+unit_bytes = 8192
+"""
 
 
-def case(record, platform):
+def write(record, session, block, pause, before_piece=lambda number: None):
+    """One write whose data are sent in pieces. Returns its status, or None, and when its last byte was sent."""
+    body = os.urandom(BLOCK * BLOCKS)
+    tag = session.command(True, block, BLOCKS, len(body))
+    header, _ = session.receive(3)
+    if header[0] & 0x3f != 0x31:
+        raise CouldNotRun(f"no data are asked for, but {header[0]:#x}")
+    at, length = int.from_bytes(header[40:44], "big"), int.from_bytes(header[44:48], "big")
+    record(f"iSCSI client: write {tag}, is asked for {length} bytes")
+    pieces = range(at, at + length, PIECE)
+    for number, offset in enumerate(pieces):
+        before_piece(number)
+        last = number + 1 == len(pieces)
+        session.data_out(tag, int.from_bytes(header[20:24], "big"), number, offset, body[offset:offset + PIECE], last)
+        if not last:
+            time.sleep(pause)
+    sent = record.now()
+    record(f"iSCSI client: write {tag}, the last byte is sent")
+    try:
+        header, _ = session.receive(LONGEST_S + LATE_S + 4)
+    except socket.timeout:
+        return None, sent, "no answer, and the connection stays open"
+    except (Ended, ConnectionError):
+        return None, sent, "the connection ended without an answer"
+    return header[3] if header[0] & 0x3f == 0x21 else None, sent, f"answer {header[0]:#x}, status {header[3]:#x}"
+
+
+def one_round(record, platform, number):
     def work(request, reply):
         time.sleep(WORK_S)
-        reply(served(b"x" * LONG if request["verb"] == "OBJ.GET" else b"kept"))
+        reply(served(b"kept"))
 
     discovery = Discovery(record)
-    targets = [Target(record, f"s-{group}", group, work) for group in range(4)]
-    for target in targets:
-        discovery.tell(target.name, target.address, target.group)
-    listen = free_address()
-    process = platform.initiator("n1", configuration("n1", listen, discovery.address, memory_mb=MEMORY_MB, sockets=256))
+    target = Target(record, "s-1", 0, work)
+    discovery.tell("s-1", target.address, 0)
+    listen, control, front = free_address(), free_address(), free_address()
+    process = platform.initiator(f"n{number}", configuration("n1", listen, discovery.address, control=control),
+                                 iscsi=UNITS.replace("LISTEN", front))
     platform.wait_ready(process, listen)
     time.sleep(0.5)
+    session = Session(front, NAME, record)
+    status, _, what = write(record, session, 0, 0)
+    record(f"iSCSI client: {what}")
+    if status != 0:
+        raise CouldNotRun("the first write is not served")
 
-    def slow_reader(number):
-        client = socket.socket()
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
-        client.connect(pair(listen))
-        client.settimeout(20)
-        stream = Stream(client)
-        client.sendall(get(IDS.next(), 1 + number % 3, 6000, name="bulk", units=8))
-        try:
-            left, begun = int(stream.line()[1:]), record.now()
-            while left:
-                left -= len(stream.exactly(min(left, 65536)))
-                time.sleep(max(0.0, begun + READ_S * (1 - left / LONG) - record.now()))
-            record(f"slow reader {number}: has the whole value")
-        except (Ended, OSError, ValueError) as why:
-            record(f"slow reader {number}: {why!r}")
+    def drain(piece):
+        if piece == 1 and TROUBLE and not call_operator(record, control, "drain").startswith("200"):
+            raise CouldNotRun("the drain was refused")
 
-    if TROUBLE:
-        for number in range(READERS):
-            threading.Thread(target=slow_reader, args=(number,), daemon=True).start()
-        time.sleep(1.0)
+    status, sent, what = write(record, session, 128, PAUSE_S, drain)
+    took = record.now() - sent
+    record(f"round {number}: {what} after {took:.3f} s")
+    process.terminate()
+    if status is None:
+        return f"a write that was sent whole got no final answer: {what}"
+    if took > LONGEST_S + LATE_S:
+        return f"a write was answered after {took:.3f} s"
+    return None
 
-    # A whole write of the same size first: its client is answered, and it runs once.
-    whole = IDS.next()
-    client = socket.create_connection(pair(listen), 2)
-    client.settimeout(10)
-    client.sendall(put(whole, 0, b"y" * LONG, units=8))
-    reply = Stream(client).reply()
-    record(f"client: answer to the whole write {whole}: {reply!r}")
-    client.close()
-    if TROUBLE and not (isinstance(reply, bytes) or str(reply).startswith("-BUSY")):
-        raise CouldNotRun("a whole write has failed")
 
-    unfinished = IDS.next()
-    client = socket.create_connection(pair(listen), 2)
-    begun = record.now()
-    client.sendall(put(unfinished, 0, b"z" * LONG, units=8)[:-2])
-    record(f"client: sent {unfinished} but for its last two bytes, after {record.now() - begun:.3f} s, and stays")
-    reply = None
-    client.settimeout(STAYS_S)
-    try:
-        reply = Stream(client).reply()
-        record(f"client: got {reply!r} {record.now() - begun:.3f} s after it connected")
-    except (Ended, ConnectionError):
-        record(f"client: was closed {record.now() - begun:.3f} s after it connected")
-    except socket.timeout:
-        record("client: got neither an answer nor a close")
-    client.close()
-    time.sleep(0.5)
-    runs = sum(request["id"] == unfinished for target in targets for request in target.ran)
-    record(f"the unfinished write has run {runs} times")
-    if isinstance(reply, bytes):
-        return "a write that its client had not finished ran and was served"
-    if runs:
-        return "a write that its client had not finished ran"
-    return None
+def case(record, platform):
+    found = [one_round(record, platform, number) for number in range(1, ROUNDS + 1)]
+    broken = [one for one in found if one]
+    return broken[0] if broken else None
 
 
 main(FOLDER, case)
