--- a/review/8/case-2.py
+++ b/review/8/case-2.py
@@ -8,7 +8,7 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
-from standins import (IDS, TROUBLE, CouldNotRun, Discovery, Ended, Stream, Target, configuration, free_address,  # noqa: E402
+from standins import (IDS, TROUBLE, Discovery, Ended, Stream, Target, configuration, free_address,  # noqa: E402
                       get, main, pair, served)
 
 MEMORY_MB = 32
--- a/review/9/case-2.py
+++ b/review/9/case-2.py
@@ -8,7 +8,7 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
 from iscsi import Session  # noqa: E402
-from standins import (IDS, TROUBLE, CouldNotRun, Discovery, Ended, Target, call_operator, configuration,  # noqa: E402
+from standins import (TROUBLE, CouldNotRun, Discovery, Ended, Target, call_operator, configuration,  # noqa: E402
                       free_address, main, served)
 
 NAME = "iqn.2026-12.example:records"
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -5,7 +5,6 @@
 import json
 import os
 import re
-import select
 import shutil
 import signal
 import socket
