A long write that its client has not finished neither runs nor is served

Cause: a body that memory has no room for is sent on as it arrives, and Connection::write_body ended the node's command as soon as it had as many bytes as the head states. Whether the client had sent the terminator it did not ask.

Change: BodyStream knows whether its terminator has arrived, and the node's is written only then.

Why it works: a node takes up a command with its last byte. Until the client's is there, the attempt counts as not sent, and the check of stalled commands ends it with an error as any other unfinished command.

--- a/src/flow.rs
+++ b/src/flow.rs
@@ -80,6 +80,8 @@
     grant: Option<Grant>,
     /// The body is not needed any more.
     discarded: bool,
+    /// The client has sent the terminator behind the body, so that its command is whole.
+    terminated: bool,
 }
 
 /// Identity, not equality of content.
@@ -98,6 +100,7 @@
             buffered: Vec::new(),
             grant,
             discarded: false,
+            terminated: false,
         })))
     }
 
@@ -117,6 +120,18 @@
         self.received() == self.length()
     }
 
+    /// Records that the command of this body was received whole, with the terminator behind the body.
+    pub fn terminate(&self) {
+        debug_assert!(self.is_complete(), "a body ends with its last byte");
+        self.0.borrow_mut().terminated = true;
+    }
+
+    /// Whether the command of this body was received whole. Until then it may still turn out to be malformed, and a node
+    /// must not get the end of it.
+    pub fn is_terminated(&self) -> bool {
+        self.0.borrow().terminated
+    }
+
     /// Whether it can still be sent from its beginning.
     pub fn is_replayable(&self) -> bool {
         let state = self.0.borrow();
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -285,7 +285,10 @@
         let mut done = false;
         if complete {
             match input.get(count..count + 2) {
-                Some(b"\r\n") => (count, done) = (count + 2, true),
+                Some(b"\r\n") => {
+                    body_stream.terminate();
+                    (count, done) = (count + 2, true);
+                }
                 Some(_) => {
                     let answer = Some(error_line("Protocol error: a bulk string ends without CRLF"));
                     session.set_answer(receiving.sequence, answer, output);
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -154,7 +154,8 @@
         self.pending.is_some() || (!self.conn.has_begun() && self.conn.unwritten() > 0)
     }
 
-    /// Writes as much of a long body as is available, one piece at a time; true if any bytes were written.
+    /// Writes as much of a long body as is available, one piece at a time; true if any bytes were written. Its terminator
+    /// follows once the client's command is whole.
     fn write_body(&mut self, now: Instant) -> std::io::Result<bool> {
         let mut moved = false;
         while let Some((flow, at)) = &mut self.body {
@@ -165,16 +166,17 @@
                 break;
             }
             let piece = flow.copy(*at, WINDOW);
-            if piece.is_empty() {
-                break;
-            }
             *at += piece.len();
             flow.release(*at);
             self.conn.push(&piece);
-            moved = true;
-            if *at == flow.length() {
+            moved |= !piece.is_empty();
+            if *at == flow.length() && flow.is_terminated() {
+                // The node begins its work with the terminator, which the client has to have sent.
                 self.conn.push(b"\r\n");
                 self.body = None;
+                moved = true;
+            } else if piece.is_empty() {
+                break;
             }
         }
         self.conn.flush()?;
--- a/tests/net/long_values.rs
+++ b/tests/net/long_values.rs
@@ -40,6 +40,14 @@
     (0..length).map(|at| (at % 251) as u8).collect()
 }
 
+/// The command of a write up to its body, which has this length.
+fn put_head(length: usize) -> Vec<u8> {
+    let list = b"c=write,t=plus,d=4000,volume=00000000000000a0,units=2,shard=-1,hosts=1";
+    let command = topazpath::resp::command(&[b"OBJ.PUT", b"0000000000000001", b"id", list, b""]);
+    let head = command.strip_suffix(b"$0\r\n\r\n").expect("an empty body at the end");
+    [head, format!("${length}\r\n").as_bytes()].concat()
+}
+
 #[test]
 fn concurrent_long_values_beyond_the_memory_budget_pass_unchanged_in_both_directions() {
     let value = Arc::new(pattern(4 * 1024 * 1024));
@@ -117,15 +125,7 @@
     // The memory budget is too small for the whole body, so it is streamed to the node as it arrives.
     let program = Program::start(&discovery, Setup { memory_mb: 8, ..Setup::default() });
     let mut client = Client::connect(program.resp);
-    let list = b"c=write,t=plus,d=4000,volume=00000000000000a0,units=2,shard=-1,hosts=1";
-    let length = format!("${}\r\n", list.len());
-    let head = [
-        &b"*5\r\n$7\r\nOBJ.PUT\r\n$16\r\n0000000000000001\r\n$2\r\nid\r\n"[..],
-        length.as_bytes(),
-        list,
-        b"\r\n$4000000\r\n",
-    ];
-    client.write(&head.concat());
+    client.write(&put_head(LONGEST));
     client.write(&pattern(300_000));
     let mut other = Client::connect(program.resp);
     eventually("the attempt is in flight", || other.info().contains("attempts_out:1\r\n").then_some(()));
@@ -135,6 +135,25 @@
     assert_eq!(node.count(), 0, "the node received no complete command");
 }
 
+/// Guards against a write that runs and is served although its client never finished it (review/10): the terminator behind
+/// a body that memory has no room for was sent to the node before the client had sent its own.
+#[test]
+fn a_long_write_without_its_terminator_neither_runs_nor_is_served() {
+    for terminator in ["", "\r", "xy"] {
+        let node = Node::echo();
+        let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+        let program = Program::start(&discovery, Setup { memory_mb: 8, ..Setup::default() });
+        let mut client = Client::connect(program.resp);
+        client.write(&[&put_head(LONGEST)[..], &pattern(LONGEST), terminator.as_bytes()].concat());
+        let answer = client.try_receive();
+        assert!(matches!(answer, Some(Value::Error(_)) | None), "{terminator:?}: the write is served");
+        program.wait_for_info("requests_open:0");
+        program.wait_for_info("attempts_out:0");
+        assert!(program.info_number("attempts_sent") > 0, "the body is streamed to the node");
+        assert_eq!(node.count(), 0, "{terminator:?}: the node received a whole command");
+    }
+}
+
 /// Guards against the loss of all requests of a connection when a node breaks off a long value behind them (review/3).
 /// The client got nothing, and the log showed the attempts of the other requests cancelled 0.1 ms after the reset: the
 /// answer was final for its client once it had begun at the node, and its break ended the connection.
