An answer to a long write that its node has not got whole serves nobody

A node that answers within the body of a write has its value passed on, while the client still sends: it is served as if its request had run.

Cause: only long answers were refused before their command was sent whole; short ones ended the attempt whenever they came.

Change: a value that comes while a part of the body is unsent counts as unreadable, and the attempt as never sent. A refusal or an error still counts.

--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -545,6 +545,10 @@
                     }
                 }
                 Ok(Step::Closing) => return self.end(id, Outcome::Reset),
+                // A node can't serve a write of which it has not got all.
+                Ok(Step::Ended(ended)) if ended.outcome == Outcome::Served && connection.body.is_some() => {
+                    return self.fail_unreadable(id)
+                }
                 Ok(Step::Ended(ended)) => {
                     self.finish_answer(now, id, ended);
                     if read.is_over() {
--- a/tests/net/long_values.rs
+++ b/tests/net/long_values.rs
@@ -1,6 +1,7 @@
 //! Long values: within the budget of memory, of slow peers, and broken off beside other requests of the same connection.
 
 use crate::helper::*;
+use std::io::{Read, Write};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -154,6 +155,26 @@
     }
 }
 
+/// Guards against a write that is served before its client has sent all of it (found beside review/10): a short answer of
+/// the node was passed on whenever it came.
+#[test]
+fn an_answer_of_a_node_that_has_not_got_the_whole_write_serves_nobody() {
+    let hasty = serve(|mut stream| {
+        let mut bytes = [0; 4096];
+        let _ = stream.read(&mut bytes);
+        let _ = stream.write_all(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n");
+        while stream.read(&mut bytes).is_ok_and(|count| count > 0) {}
+    });
+    let discovery = Discovery::start(&[("s-1", hasty, 3)]);
+    let program = Program::start(&discovery, Setup { memory_mb: 8, ..Setup::default() });
+    let mut client = Client::connect(program.resp);
+    client.write(&put_head(LONGEST));
+    client.write(&pattern(300_000));
+    let answer = client.try_receive();
+    assert!(matches!(answer, Some(Value::Error(_)) | None), "the write is served");
+    program.wait_for_info("requests_open:0");
+}
+
 /// Guards against the loss of all requests of a connection when a node breaks off a long value behind them (review/3).
 /// The client got nothing, and the log showed the attempts of the other requests cancelled 0.1 ms after the reset: the
 /// answer was final for its client once it had begun at the node, and its break ended the connection.
