A long value without memory goes on, whatever waits behind it

Cause: a value without a grant is read from its node within a window of 64 KiB, less all bytes that wait on the client's connection. Answers to later commands were among them, which cannot leave before the value has.

Change: only what leaves ahead of the value, and the value's own bytes, is subtracted (Protocol::buffered_bytes_through).

Why it works: whatever is subtracted now leaves by itself as the client reads.

--- a/src/front/answers.rs
+++ b/src/front/answers.rs
@@ -118,10 +118,12 @@
         Ok(())
     }
 
-    /// Bytes of a streamed answer that a client's connection can take now.
+    /// Bytes of a streamed answer that a client's connection can take now. Answers behind it don't count: they can't leave
+    /// before it has, so that waiting for them would last forever.
     pub fn answer_capacity(&self, origin: Origin) -> usize {
         let Some(client) = self.clients.get(&origin.conn) else { return 0 };
-        WINDOW.saturating_sub(client.conn.unwritten() + self.protocol.buffered_answer_bytes(&client.session))
+        let ahead = self.protocol.buffered_bytes_through(&client.session, origin.sequence);
+        WINDOW.saturating_sub(client.conn.unwritten() + ahead)
     }
 
     /// Continues with a client that was paused.
--- a/src/front/protocol.rs
+++ b/src/front/protocol.rs
@@ -60,6 +60,11 @@
         0
     }
 
+    /// Those of them that leave before the answer to command number `_sequence` or are a part of it.
+    fn buffered_bytes_through(&self, _: &Self::Session, _sequence: u64) -> usize {
+        0
+    }
+
     /// Whether the head of a command was taken and its body is still being received.
     fn is_receiving_body(&self, _: &Self::Session) -> bool {
         false
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -195,8 +195,12 @@
     }
 
     fn buffered_answer_bytes(&self, session: &Session) -> usize {
-        let answers = session.pending.iter().filter_map(|pending| pending.answer.as_ref());
-        answers.map(Vec::len).sum()
+        self.buffered_bytes_through(session, u64::MAX)
+    }
+
+    fn buffered_bytes_through(&self, session: &Session, sequence: u64) -> usize {
+        let through = session.pending.iter().take_while(|pending| pending.sequence <= sequence);
+        through.filter_map(|pending| pending.answer.as_ref()).map(Vec::len).sum()
     }
 
     fn is_receiving_body(&self, session: &Session) -> bool {
--- a/tests/net/long_values.rs
+++ b/tests/net/long_values.rs
@@ -353,6 +353,27 @@
     program.wait_for_info("long_value_bytes:0");
 }
 
+/// Guards against a long value that stops for good (review/7): answers that wait behind it took up the window in which a
+/// value without memory is read from its node.
+#[test]
+fn answers_that_wait_behind_a_long_value_without_memory_do_not_stop_it() {
+    let gate = Gate::default();
+    let rest = gate.clone();
+    let long = Node::start(move |_, _| Reply::InTwoParts(pattern(LONGEST), PART, rest.clone()));
+    let fast = Node::start(|_, _| Reply::Value(vec![b's'; 48 * 1024]));
+    let discovery = Discovery::start(&[("s-1", fast.address, 1), ("s-2", long.address, 2)]);
+    let program = Program::start(&discovery, Setup { memory_mb: 8, ..Setup::default() });
+    let mut client = Client::connect(program.resp);
+    client.request(9, 2, "", None);
+    (1..=2).for_each(|object| client.request(object, 1, "", None));
+    program.wait_for_info("attempts_served:2");
+    gate.open();
+    assert!(client.try_receive() == Some(bulk(&pattern(LONGEST))), "the long value is whole");
+    for _ in 0..2 {
+        assert!(client.receive() == bulk(&[b's'; 48 * 1024]), "an answer behind it");
+    }
+}
+
 /// Known failure: requests behind a value that memory has no room for are lost with it if it breaks off (issue 42).
 #[test]
 fn requests_behind_a_long_value_without_memory_survive_its_break() {
