A long value is not cut off while its client is still reading it

The connection is reset and a quarter of the value lost.

Cause: what was written to the socket counted as read. The system's buffer held the value, the connection was closed as idle after 2.1 s and dropped a second later, and the client's next bytes made the system reset it.

Change: of connections that are about to be closed the system is asked what the peer has not acknowledged (SIOCOUTQ). A client that goes on reading is not idle, and a lingering connection stays until its client has received everything or nothing for 10 s.

Why it works: nothing is dropped that the client still takes; closes of all kinds go through the same lingering close.

--- a/src/conn.rs
+++ b/src/conn.rs
@@ -1,6 +1,6 @@
 //! A buffered non-blocking TCP connection, used by every protocol here. It knows no protocol itself.
 
-use crate::tcp_info::TcpInfo;
+use crate::tcp_info::{self, TcpInfo};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use std::cell::RefCell;
@@ -171,6 +171,12 @@
         self.unwritten
     }
 
+    /// Bytes that were passed to the kernel and that the peer has not received yet: it reads slowly, or not at all. A
+    /// reset of the connection would lose them.
+    pub fn undelivered(&self) -> usize {
+        tcp_info::unacknowledged(self.stream.as_fd())
+    }
+
     /// Whether any byte of the queued output was written.
     pub fn has_begun(&self) -> bool {
         self.begun
--- a/src/front/client.rs
+++ b/src/front/client.rs
@@ -2,6 +2,7 @@
 
 use super::arrivals::ArrivalTimes;
 use super::idle::IdlePosition;
+use super::reading::ReadProgress;
 use crate::conn::Conn;
 use crate::flow::Grant;
 use std::time::Instant;
@@ -34,6 +35,8 @@
     pub connected_at: Instant,
     pub last_active: Instant,
     pub last_write_progress: Instant,
+    /// How far it has read what was passed to the kernel, as far as that was asked for.
+    pub reading: ReadProgress,
     /// Since when an incomplete command has made no progress.
     pub partial_since: Option<Instant>,
     /// Bytes buffered for it when last counted, less those granted to long answers.
@@ -69,6 +72,7 @@
             connected_at: now,
             last_active: now,
             last_write_progress: now,
+            reading: ReadProgress::new(now),
             partial_since: None,
             buffered_bytes: 0,
             streams: Vec::new(),
--- a/src/front/leaving.rs
+++ b/src/front/leaving.rs
@@ -2,15 +2,19 @@
 //!
 //! Nothing more is written, and what still arrives is read and discarded: closing a socket with unread input
 //! would reset the connection, and the client could lose the answer that was written before. Time, bytes and
-//! number of connections are bounded.
+//! number of connections are bounded. A client that is still reading its answer is given time as long as it goes on.
 
+use super::reading::ReadProgress;
 use crate::conn::{Conn, ReadEnd};
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// How long the client may take to close.
+/// How long the client may take to close once it has received everything, and the interval at which one that has not is
+/// checked.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Connections that are looked at for one that may be dropped, if there are too many.
+const MAX_INSPECTED: usize = 8;
 /// Bytes that are read and discarded, in total and in one iteration; bounds clients that never stop sending.
 const MAX_DISCARDED_BYTES: usize = 4 * 1024 * 1024;
 const MAX_BYTES_PER_ITERATION: usize = 256 * 1024;
@@ -19,13 +23,14 @@
 struct LingeringConn {
     conn: Conn,
     discarded: usize,
+    reading: ReadProgress,
 }
 
 #[derive(Default)]
 pub(super) struct LingeringConns {
     conns: FxHashMap<usize, LingeringConn>,
-    /// Connections in the order of their close, with the time at which they are dropped at the latest. Entries
-    /// may have been dropped already.
+    /// Connections in the order in which they are due, with the time at which they are dropped unless their client is
+    /// still reading. Entries may have been dropped already.
     deadlines: VecDeque<(Instant, usize)>,
     /// Connections that may have input.
     readable: VecDeque<usize>,
@@ -33,22 +38,29 @@
 
 impl LingeringConns {
     /// Shuts down the sending side of a connection whose output is all written. If there are `max` connections
-    /// already, the oldest is dropped.
+    /// already, the oldest is dropped, if possible one whose client has received everything.
     pub fn add(&mut self, now: Instant, id: usize, conn: Conn, max: usize) {
         if conn.shutdown_write().is_err() {
             // The client is already gone.
             return;
         }
         while self.conns.len() >= max.max(1) {
-            let Some((_, first)) = self.deadlines.pop_front() else { break };
-            self.conns.remove(&first);
+            let Some(at) = self.least_needed() else { break };
+            self.deadlines.remove(at).map(|(_, dropped)| self.conns.remove(&dropped));
         }
-        self.conns.insert(id, LingeringConn { conn, discarded: 0 });
+        self.conns.insert(id, LingeringConn { conn, discarded: 0, reading: ReadProgress::new(now) });
         self.deadlines.push_back((now + LINGER_TIMEOUT, id));
         // Input that has already arrived causes no further event.
         self.readable.push_back(id);
     }
 
+    /// Position among the deadlines of the connection that is dropped first.
+    fn least_needed(&self) -> Option<usize> {
+        let is_read = |id| self.conns.get(id).is_none_or(|lingering| lingering.conn.undelivered() == 0);
+        let oldest = self.deadlines.iter().take(MAX_INSPECTED);
+        oldest.map(|(_, id)| id).position(is_read).or_else(|| (!self.deadlines.is_empty()).then_some(0))
+    }
+
     /// Handles an event on a connection, which may not be one of these.
     pub fn on_event(&mut self, id: usize) {
         if self.conns.contains_key(&id) {
@@ -92,8 +104,18 @@
                 self.readable.push_back(id);
             }
         }
-        while self.deadlines.front().is_some_and(|(at, id)| *at <= now || !self.conns.contains_key(id)) {
-            self.deadlines.pop_front().map(|(_, id)| self.conns.remove(&id));
+        while let Some((_, id)) =
+            self.deadlines.pop_front_if(|(at, id)| *at <= now || !self.conns.contains_key(id))
+        {
+            let Some(lingering) = self.conns.get_mut(&id) else { continue };
+            if lingering.reading.is_in_progress(now, &lingering.conn) {
+                self.deadlines.push_back((now + LINGER_TIMEOUT, id));
+            } else {
+                self.conns.remove(&id);
+            }
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -14,6 +14,7 @@
 pub mod iscsi;
 mod leaving;
 mod protocol;
+mod reading;
 pub mod resp;
 mod room;
 mod sweep;
--- a/src/front/sweep.rs
+++ b/src/front/sweep.rs
@@ -1,6 +1,7 @@
 //! Clients that are silent, do not go on, do not read or were idle for long are looked for at intervals, and closed.
 
 use super::protocol::Protocol;
+use super::reading::READ_TIMEOUT;
 use super::room::MIN_SILENCE_BEFORE_EVICTION;
 use super::Front;
 use crate::core::Core;
@@ -11,8 +12,6 @@
 pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_millis(2600);
 /// How long a connection that is to be closed waits for its client to read the remaining output.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
-/// A client that reads none of its output for this long is closed.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// An idle connection is closed after this; the platform permits it after two seconds. Otherwise clients would
 /// hold connections that they used once until none is left for others.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2100);
@@ -25,10 +24,22 @@
         !self.client_policy.hand_over && self.client_policy.shed_from.is_some_and(|from| from <= now)
     }
 
+    /// Whether an idle client has not received all of its answers yet. It counts as active as long as it goes on reading.
+    fn is_still_reading(&mut self, now: Instant, id: usize) -> bool {
+        let Some(client) = self.clients.get_mut(&id) else { return false };
+        let reading = client.reading.is_in_progress(now, &client.conn);
+        if reading {
+            client.last_active = now;
+            self.update_idle_position(id);
+        }
+        reading
+    }
+
     /// Closes clients that are silent, stalled, not reading, or idle for too long, so that connections that are
     /// opened by the hundred and never used do not accumulate.
     pub(super) fn close_timed_out(&mut self, now: Instant, core: &mut Core) {
-        let (mut to_drop, mut to_finish, mut to_close) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut to_drop, mut to_finish, mut to_close, mut unused) =
+            (Vec::new(), Vec::new(), Vec::new(), Vec::new());
         let shedding = self.is_shedding(now);
         for (id, client) in &self.clients {
             let (protocol, session) = (&self.protocol, &client.session);
@@ -37,7 +48,7 @@
             let all_written = client.all_written();
             let silent =
                 idle && !protocol.has_sent_command(session) && now - client.connected_at > SILENCE_TIMEOUT;
-            let stalled_write = !all_written && now - client.last_write_progress > WRITE_TIMEOUT;
+            let stalled_write = !all_written && now - client.last_write_progress > READ_TIMEOUT;
             // A client that was redirected may have another command on its way, which is to be answered.
             let redirect_idle =
                 client.redirected_since.is_some() && now - client.last_active > MIN_SILENCE_BEFORE_EVICTION;
@@ -53,17 +64,22 @@
                 && (redirect_idle
                     || (shedding
                         && (protocol.has_sent_command(session)
-                            || client.connected_at + SILENCE_TIMEOUT_SHEDDING < now))
-                    || (!self.client_policy.keep_idle
-                        && protocol.has_sent_command(session)
-                        && protocol.is_evictable(session)
-                        && now - client.last_active > IDLE_TIMEOUT))
+                            || client.connected_at + SILENCE_TIMEOUT_SHEDDING < now)))
             {
                 to_close.push(*id);
+            } else if idle
+                && all_written
+                && !self.client_policy.keep_idle
+                && protocol.has_sent_command(session)
+                && protocol.is_evictable(session)
+                && now - client.last_active > IDLE_TIMEOUT
+            {
+                unused.push(*id);
             }
         }
         to_drop.into_iter().for_each(|id| self.drop_client(id, core));
-        for id in to_close {
+        unused.retain(|id| !self.is_still_reading(now, *id));
+        for id in to_close.into_iter().chain(unused) {
             self.close_gracefully(now, id);
         }
         // Idle clients are closed above this limit because open connections take up descriptors that the next
--- a/src/tcp_info.rs
+++ b/src/tcp_info.rs
@@ -105,6 +105,19 @@
         .map_or(0, |words| words[MEMINFO_DROPS])
 }
 
+/// Bytes that were written to a TCP socket and that its peer's system has not acknowledged yet, counting a FIN as one
+/// (tcp(7), `SIOCOUTQ`); 0 if the system can't tell.
+pub fn unacknowledged(socket: BorrowedFd) -> usize {
+    let mut count: libc::c_int = 0;
+    // SAFETY: the request writes one int, and the descriptor is borrowed for the call.
+    let result = unsafe { libc::ioctl(socket.as_raw_fd(), libc::TIOCOUTQ, &mut count) };
+    if result == 0 {
+        usize::try_from(count).unwrap_or(0)
+    } else {
+        0
+    }
+}
+
 /// Reads a socket option of `WORDS` words; none if the system returns fewer.
 fn option<const WORDS: usize>(
     socket: BorrowedFd,
--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -686,6 +686,14 @@
         Client::from_stream(TcpStream::connect(address).unwrap())
     }
 
+    /// Connects with a receive buffer of some `bytes`, so that the program's system holds what is not read.
+    pub fn connect_with_receive_buffer(address: SocketAddr, bytes: usize) -> Client {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(bytes).unwrap();
+        socket.connect(&address.into()).unwrap();
+        Client::from_stream(socket.into())
+    }
+
     pub fn from_stream(stream: TcpStream) -> Client {
         Client { stream, input: Vec::new() }
     }
--- a/tests/net/long_values.rs
+++ b/tests/net/long_values.rs
@@ -374,6 +374,23 @@
     }
 }
 
+/// Guards against the idle close of a connection whose client is still reading (review/9): what its system had not taken yet
+/// was lost when it sent its next command.
+#[test]
+fn a_connection_is_not_idle_while_its_client_reads_a_long_value() {
+    let node = Node::start(|_, _| Reply::Value(long_value()));
+    let discovery = Discovery::start(&[("s-1", node.address, 1)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect_with_receive_buffer(program.resp, 64 * 1024);
+    client.request(1, 1, "", None);
+    program.wait_for_info("answers_served:1");
+    // Longer than an idle connection stays open and lingers.
+    thread::sleep(Duration::from_millis(4000));
+    client.send(&[b"PING"]);
+    assert!(client.try_receive() == Some(bulk(&long_value())), "the value is whole");
+    assert_eq!(client.receive(), Value::Simple(b"PONG".to_vec()));
+}
+
 /// Known failure: requests behind a value that memory has no room for are lost with it if it breaks off (issue 42).
 #[test]
 fn requests_behind_a_long_value_without_memory_survive_its_break() {
