A session of the second front has a limited number of open commands

Cause: immediate commands pass by the command window, each became a task, and each DATA-OUT walked all of them.

Change: 32 tasks a session, twice the window; further commands end with TASK SET FULL (SAM-5), which says that they were not started.

--- a/src/front/iscsi.rs
+++ b/src/front/iscsi.rs
@@ -17,6 +17,8 @@
 
 /// Commands that a session may have open: the CmdSN window.
 const CMD_SN_WINDOW: u32 = 16;
+/// Open commands above which no more are taken. Those for immediate delivery are not counted by the window.
+const MAX_TASKS: usize = 2 * CMD_SN_WINDOW as usize;
 /// Memory that is counted for a task besides its data, in bytes.
 const TASK_BYTES: usize = 512;
 /// Largest data segment that is accepted, in bytes.
@@ -370,6 +372,9 @@
                     return session.write_sense(&task, sense, output);
                 }
                 if blocks > 0 {
+                    if session.tasks.len() >= MAX_TASKS {
+                        return session.write_status(&task, scsi::TASK_SET_FULL, 0, Vec::new(), output);
+                    }
                     let purpose = if write { Purpose::Input } else { Purpose::Request };
                     let length = blocks as usize * unit.block_bytes as usize;
                     task.memory = self.budget.grant(purpose, length + TASK_BYTES);
--- a/tests/net/iscsi.rs
+++ b/tests/net/iscsi.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use topazpath::iscsi::pdu::{FINAL, NO_TAG};
-use topazpath::iscsi::scsi::{lun_field, Cdb, BUSY, CHECK_CONDITION, GOOD};
+use topazpath::iscsi::scsi::{lun_field, Cdb, BUSY, CHECK_CONDITION, GOOD, TASK_SET_FULL};
 use topazpath::iscsi::{text, Opcode, Pdu};
 use topazpath::resp::Value;
 
@@ -369,6 +369,32 @@
     program.wait_for_info("input_bytes:0");
 }
 
+/// Guards against memory that grows with every command (found beside review/6): commands for immediate delivery pass by the
+/// window of a session.
+#[test]
+fn a_session_has_a_limited_number_of_commands_for_immediate_delivery() {
+    const COMMANDS: u32 = 2000;
+    let node = Node::echo();
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, setup(None, "plus"));
+    let mut client = IscsiClient::login(program.iscsi.unwrap());
+    let (mut requested, mut full) = (0, 0);
+    for tag in 0..COMMANDS {
+        let mut command = Pdu::new(Opcode::ScsiCommand, tag).with_flags(FINAL | 0x20).with(20, BLOCK as u32);
+        command.header[0] |= 0x40;
+        command.header[8..16].copy_from_slice(&lun_field(0));
+        command.header[32..].copy_from_slice(&Cdb::transfer(true, u64::from(tag), 1));
+        client.connection.send(command.with(24, client.cmd_sn));
+        let answer = client.connection.receive().expect("an answer to each command");
+        match answer.opcode() {
+            Some(Opcode::R2t) => requested += 1,
+            _ => full += u32::from(answer.header[3] == TASK_SET_FULL),
+        }
+    }
+    assert_eq!((requested, full), (32, COMMANDS - 32));
+    assert_eq!(IscsiClient::login(program.iscsi.unwrap()).write(6, &[1; BLOCK]).0, GOOD, "others are served");
+}
+
 #[test]
 fn a_login_to_an_unknown_or_missing_target_name_is_refused() {
     let storage = FakeTarget::start(|_| Behavior::Serve);
