--- a/src/conn.rs
+++ b/src/conn.rs
@@ -16,6 +16,9 @@
 /// Output is queued in chunks of about this size, in bytes.
 const CHUNK_BYTES: usize = 64 * 1024;
 
+/// Unused capacity that an input buffer may keep beside its content, in bytes.
+const MAX_SPARE_BYTES: usize = 4 * 1024;
+
 thread_local! {
     /// Shared read buffer, so that a connection keeps only received bytes and no spare capacity.
     static READ_BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
@@ -100,11 +103,14 @@
         TcpInfo::of(self.stream.as_fd()).map_or(since, |info| info.arrived_by(now, since))
     }
 
-    /// Removes consumed input. Frees the buffer if it is empty, so that a connection doesn't keep the capacity of its
+    /// Removes consumed input. Frees what the rest doesn't need, so that a connection doesn't keep the capacity of its
     /// largest message.
     pub fn consume(&mut self, count: usize) {
         self.input.drain(..count);
         self.free_empty_input();
+        if self.input.capacity() > 2 * self.input.len() + MAX_SPARE_BYTES {
+            self.input.shrink_to_fit();
+        }
     }
 
     /// Frees the input buffer if all of it was consumed.
@@ -135,6 +141,15 @@
         }
     }
 
+    /// Queues output without copying it, unless it fits into the last chunk.
+    pub fn push_owned(&mut self, bytes: Vec<u8>) {
+        if bytes.len() < CHUNK_BYTES {
+            return self.push(&bytes);
+        }
+        self.unwritten += bytes.len();
+        self.output.push_back(bytes);
+    }
+
     /// Writes the beginning of `bytes`, which must not be empty, at once and queues the rest; nothing may be queued
     /// already. Takes the bytes only if the socket accepted some of them, and returns whether it did.
     ///
--- a/src/core.rs
+++ b/src/core.rs
@@ -11,6 +11,7 @@
 use crate::clock::Clock;
 use crate::flow::BodyStream;
 use crate::interface::{self, Action, AttemptEnd, Event, NewRequest, NodeId, Outcome, RequestId};
+use crate::memory::{Budget, Grant, Purpose};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
@@ -20,6 +21,9 @@
 /// answer. The delay lets the planner's own answer at the deadline go first.
 const ANSWER_GRACE: Duration = Duration::from_millis(4);
 
+/// Memory that is counted for an open request besides what its client sent, in bytes.
+const REQUEST_BYTES: usize = 1024;
+
 /// Lower bound of a latency from which this process's lateness was subtracted; the real one is unknown.
 const MIN_LATENCY: Duration = Duration::from_millis(1);
 
@@ -54,6 +58,13 @@
     pub extent: Option<Extent>,
 }
 
+impl Content {
+    /// Bytes that its client sent, without a body that is streamed.
+    fn bytes(&self) -> usize {
+        self.object.len() + self.id.len() + self.attributes.len() + self.body.len()
+    }
+}
+
 /// A contiguous range of blocks of a logical unit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Extent {
@@ -161,6 +172,8 @@
     may_have_run: bool,
     /// The answer that is being streamed to the client.
     stream: Option<Stream>,
+    /// Its share of the budget.
+    _memory: Grant,
 }
 
 /// The open requests of one initiator.
@@ -180,8 +193,10 @@
     /// Events not yet passed to the planner, in order of arrival.
     events: Vec<Event>,
     effects: Vec<Effect>,
-    /// Bytes of the bodies of open requests.
-    body_bytes: usize,
+    /// Memory for open requests.
+    budget: Budget,
+    /// Bytes that clients sent for open requests.
+    request_bytes: usize,
     last_id: u64,
     /// Retry delay for clients that the core refuses by itself.
     retry_after: Duration,
@@ -195,7 +210,8 @@
 }
 
 impl Core {
-    pub fn new(clock: Clock, retry_after: Duration) -> Self {
+    /// A core without requests, whose memory is taken from `budget`.
+    pub fn new(clock: Clock, retry_after: Duration, budget: Budget) -> Self {
         Core {
             clock,
             requests: FxHashMap::default(),
@@ -206,7 +222,8 @@
             lateness: Duration::ZERO,
             events: Vec::new(),
             effects: Vec::new(),
-            body_bytes: 0,
+            budget,
+            request_bytes: 0,
             last_id: 0,
             retry_after,
             classes: Vec::new(),
@@ -230,7 +247,7 @@
     pub fn info(&self) -> String {
         let own = [
             ("requests_open", self.requests.len()),
-            ("request_bytes", self.body_bytes),
+            ("request_bytes", self.request_bytes),
             ("timers", self.attempt_timeouts.len() + self.overdue_answers.len()),
         ];
         let sizes = own.iter().chain(&self.gauges);
@@ -263,7 +280,9 @@
         new.id = id;
         let deadline = self.clock.instant(new.deadline);
         self.overdue_answers.insert((deadline + ANSWER_GRACE, id));
-        self.body_bytes += content.body.len();
+        let bytes = content.bytes();
+        self.request_bytes += bytes;
+        let memory = self.budget.hold(Purpose::Request, bytes + REQUEST_BYTES);
         let content = Rc::new(content);
         let key = new.key;
         let open = OpenRequest {
@@ -276,6 +295,7 @@
             answered: false,
             may_have_run: false,
             stream: None,
+            _memory: memory,
         };
         self.requests.insert(id, open);
         self.counters.requests_accepted += 1;
@@ -569,7 +589,7 @@
             if let Some(open) = self.requests.remove(&id) {
                 // A request that ends without an answer still has its timer.
                 self.overdue_answers.remove(&(open.deadline + ANSWER_GRACE, id));
-                self.body_bytes -= open.content.body.len();
+                self.request_bytes -= open.content.bytes();
                 self.by_client_id.remove(&open.content.id);
             }
         }
@@ -674,8 +694,9 @@
         self.requests.len()
     }
 
-    pub fn body_bytes(&self) -> usize {
-        self.body_bytes
+    /// Bytes that clients sent for open requests.
+    pub fn request_bytes(&self) -> usize {
+        self.request_bytes
     }
 
     pub fn drain_events(&mut self) -> Vec<Event> {
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::memory::Limits;
 
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -11,7 +12,7 @@
 impl Fixture {
     fn new() -> Self {
         let clock = Clock::start();
-        Fixture { core: Core::new(clock, RETRY_AFTER), clock, now: Instant::now() }
+        Fixture { core: Core::new(clock, RETRY_AFTER, Budget::new(Limits::NONE)), clock, now: Instant::now() }
     }
 
     /// Accepts a request with a deadline in one second.
@@ -86,7 +87,7 @@
     assert_eq!(fixture.end(id, 0, Outcome::Served), []);
     assert_eq!(fixture.core.open_requests(), 1, "an attempt is in flight");
     assert_eq!(fixture.end(id, 1, Outcome::Served), []);
-    assert_eq!((fixture.core.open_requests(), fixture.core.body_bytes()), (0, 0));
+    assert_eq!((fixture.core.open_requests(), fixture.core.request_bytes()), (0, 0));
     assert_eq!(fixture.carry_out(Action::Fail { id }), []);
     let finished = |event: &Event| matches!(event, Event::AttemptEnded(end) if end.finished);
     assert_eq!(fixture.core.drain_events().iter().filter(|event| finished(event)).count(), 2);
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -1,6 +1,6 @@
 //! Long values: the body of a write while it is received from the client and sent to a node. No I/O.
 
-use crate::memory::Grant;
+use crate::memory::{Budget, Grant, Purpose};
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -21,14 +21,22 @@
     /// Offset of the first buffered byte in the body.
     start: usize,
     buffered: Vec<u8>,
-    /// With a grant the whole body is kept, so that it can be sent again.
-    grant: Option<Grant>,
-    /// The body is not needed any more.
-    discarded: bool,
+    /// Memory for what is buffered.
+    memory: Memory,
     /// The client has sent the terminator behind the body, so that its command is whole.
     terminated: bool,
 }
 
+#[derive(Debug)]
+enum Memory {
+    /// For all of the body, which is kept so that it can be sent again.
+    Whole(Grant),
+    /// For a part of it: what was sent makes room for more.
+    Window(Grant),
+    /// The body is not needed, or there is no memory for it: it is received and dropped.
+    Discarded,
+}
+
 /// Identity, not equality of content.
 impl PartialEq for BodyStream {
     fn eq(&self, other: &BodyStream) -> bool {
@@ -37,16 +45,13 @@
 }
 
 impl BodyStream {
-    /// A body of which nothing was received. With a grant for its length it is kept whole.
-    pub fn new(length: usize, grant: Option<Grant>) -> Self {
-        BodyStream(Rc::new(RefCell::new(State {
-            length,
-            start: 0,
-            buffered: Vec::new(),
-            grant,
-            discarded: false,
-            terminated: false,
-        })))
+    /// A body of which nothing was received. It takes memory for all of it, else for a window, else it is discarded.
+    pub fn take(budget: &Budget, length: usize) -> Self {
+        let whole = budget.grant(Purpose::LongValue, length).map(Memory::Whole);
+        let window = || budget.grant(Purpose::Window, length.min(WINDOW)).map(Memory::Window);
+        let memory = whole.or_else(window).unwrap_or(Memory::Discarded);
+        let (start, buffered, terminated) = (0, Vec::new(), false);
+        BodyStream(Rc::new(RefCell::new(State { length, start, buffered, memory, terminated })))
     }
 
     /// Length of the whole body in bytes.
@@ -80,30 +85,42 @@
     /// Whether it can still be sent from its beginning.
     pub fn is_replayable(&self) -> bool {
         let state = self.0.borrow();
-        state.start == 0 && !state.discarded
+        state.start == 0 && !matches!(state.memory, Memory::Discarded)
     }
 
     /// How many more bytes can be buffered now.
     pub fn capacity(&self) -> usize {
         let state = self.0.borrow();
         let left = state.length - state.start - state.buffered.len();
-        match state.grant.is_some() || state.discarded {
-            true => left,
-            false => left.min(WINDOW - state.buffered.len()),
+        match &state.memory {
+            Memory::Whole(_) | Memory::Discarded => left,
+            Memory::Window(grant) => left.min(grant.bytes() - state.buffered.len()),
         }
     }
 
+    /// Whether all that is left of it can be buffered now.
+    pub fn is_ending(&self) -> bool {
+        self.received() + self.capacity() == self.length()
+    }
+
+    /// Whether what is received of it is dropped.
+    pub fn is_discarded(&self) -> bool {
+        matches!(self.0.borrow().memory, Memory::Discarded)
+    }
+
     /// Adds received bytes; at most [`BodyStream::capacity`] of them.
     pub fn push(&self, bytes: &[u8]) {
         let mut state = self.0.borrow_mut();
-        if state.discarded {
-            state.start += bytes.len();
-            return;
-        }
-        if state.grant.is_some() && state.buffered.is_empty() {
+        let granted = match &state.memory {
+            Memory::Whole(grant) | Memory::Window(grant) => grant.bytes(),
+            Memory::Discarded => {
+                state.start += bytes.len();
+                return;
+            }
+        };
+        if state.buffered.is_empty() {
             // Growing by doubling could allocate up to twice the grant.
-            let length = state.length;
-            state.buffered.reserve_exact(length);
+            state.buffered.reserve_exact(granted);
         }
         state.buffered.extend_from_slice(bytes);
     }
@@ -116,10 +133,10 @@
         buffered[..buffered.len().min(max)].to_vec()
     }
 
-    /// Marks the bytes before offset `upto` as sent. Without a grant they are freed.
+    /// Marks the bytes before offset `upto` as sent. With a window they make room for more.
     pub fn release(&self, upto: usize) {
         let mut state = self.0.borrow_mut();
-        if state.grant.is_none() {
+        if matches!(state.memory, Memory::Window(_)) {
             let count = upto.saturating_sub(state.start).min(state.buffered.len());
             state.buffered.drain(..count);
             state.start += count;
@@ -131,8 +148,7 @@
         let mut state = self.0.borrow_mut();
         state.start += state.buffered.len();
         state.buffered = Vec::new();
-        state.grant = None;
-        state.discarded = true;
+        state.memory = Memory::Discarded;
     }
 }
 
--- a/src/flow/tests.rs
+++ b/src/flow/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::memory::{Budget, Limits, Purpose};
+use crate::memory::{Budget, Limits};
 use proptest::prelude::*;
 
 proptest! {
@@ -9,9 +9,9 @@
         granted: bool,
         steps in prop::collection::vec((1usize..70_000, 1usize..70_000), 1..200),
     ) {
-        let budget = Budget::new(Limits::NONE);
-        let grant = granted.then(|| budget.grant(Purpose::LongValue, length).unwrap());
-        let (body_stream, body) = (BodyStream::new(length, grant), (0..length).map(|at| (at % 251) as u8).collect::<Vec<_>>());
+        let long_values = if granted { length } else { 0 };
+        let budget = Budget::new(Limits { long_values, ..Limits::NONE });
+        let (body_stream, body) = (BodyStream::take(&budget, length), (0..length).map(|at| (at % 251) as u8).collect::<Vec<_>>());
         let mut sent: Vec<u8> = Vec::new();
         for (read, write) in steps.iter().cycle().take(10_000) {
             let received = body_stream.received();
@@ -37,10 +37,19 @@
 #[test]
 fn a_discarded_body_drops_further_bytes_and_returns_its_grant() {
     let budget = Budget::new(Limits::NONE);
-    let body_stream = BodyStream::new(200_000, budget.grant(Purpose::LongValue, 200_000));
+    let body_stream = BodyStream::take(&budget, 200_000);
     body_stream.push(&[1; 1000]);
     body_stream.discard();
     assert_eq!((budget.total(), body_stream.capacity(), body_stream.is_replayable()), (0, 199_000, false));
     body_stream.push(&[1; 199_000]);
     assert!(body_stream.is_complete() && body_stream.copy(0, 9).is_empty());
 }
+
+#[test]
+fn a_body_without_memory_is_dropped_as_it_comes() {
+    let budget = Budget::new(Limits { long_values: 0, windows: WINDOW, ..Limits::NONE });
+    let window = BodyStream::take(&budget, 200_000);
+    let dropped = BodyStream::take(&budget, 200_000);
+    assert_eq!((window.capacity(), window.is_discarded()), (WINDOW, false));
+    assert_eq!((dropped.capacity(), dropped.is_discarded(), budget.total()), (200_000, true, WINDOW));
+}
--- a/src/forwarder/budget.rs
+++ b/src/forwarder/budget.rs
@@ -8,10 +8,12 @@
 
 /// Limit of iSCSI sessions. Each may buffer a window of writes, so a large number of them would exhaust the memory.
 pub(super) const MAX_ISCSI_SESSIONS: usize = 64;
-/// Divisor of the memory: share that buffered client data may use.
-const CLIENT_MEMORY_DIVISOR: usize = 4;
+/// Divisor of the memory: share that open requests and answers may use.
+const REQUEST_MEMORY_DIVISOR: usize = 4;
 /// Divisor of the memory: share that long values may use.
 const LONG_VALUE_MEMORY_DIVISOR: usize = 3;
+/// Divisor of the memory: share that long values may use that are passed on as they come.
+const WINDOW_MEMORY_DIVISOR: usize = 8;
 /// Divisor of the memory: share that commands and bodies may use that are not whole.
 const INPUT_MEMORY_DIVISOR: usize = 8;
 /// Share of the memory that all of these may use together, as numerator and denominator. The rest is for the program, its
@@ -39,18 +41,16 @@
     let memory = config.memory.saturating_sub(used);
     memory::Limits {
         long_values: memory / LONG_VALUE_MEMORY_DIVISOR,
+        windows: memory / WINDOW_MEMORY_DIVISOR,
         input: memory / INPUT_MEMORY_DIVISOR,
-        requests: memory / CLIENT_MEMORY_DIVISOR,
+        requests: memory / REQUEST_MEMORY_DIVISOR,
         total: memory * BUDGET_SHARE.0 / BUDGET_SHARE.1,
     }
 }
 
-/// Returns the limit of connections to targets and the capacity for clients. `descriptors` and `bytes` are in use by
-/// another process of this initiator and are subtracted from its limits.
-pub(super) fn connection_budget(
-    config: &Config,
-    (descriptors, bytes): (usize, usize),
-) -> (usize, ClientLimits) {
+/// Returns the limit of connections to targets and the capacity for clients. `descriptors` are in use by another process
+/// of this initiator and are subtracted from its limit.
+pub(super) fn connection_budget(config: &Config, descriptors: usize) -> (usize, ClientLimits) {
     let sockets = config.sockets.saturating_sub(descriptors);
     let for_targets = (sockets as f64 * TARGET_DESCRIPTOR_SHARE) as usize;
     let overflow = (sockets as f64 * REJECTED_CLIENT_DESCRIPTOR_SHARE) as usize;
@@ -60,9 +60,8 @@
     // With a low limit the capacity for clients gets small, but never zero.
     let clients = sockets.saturating_sub(for_targets + 2 * overflow + more).max(MAX_ISCSI_SESSIONS / 4);
     let evict_idle_above = (sockets as f64 * IDLE_CLIENT_DESCRIPTOR_SHARE) as usize;
-    let bytes = config.memory.saturating_sub(bytes) / CLIENT_MEMORY_DIVISOR;
     (
         for_targets.max(MAX_ISCSI_SESSIONS / 4),
-        ClientLimits { evict_idle_above, clients, overflow, lingering: overflow, bytes },
+        ClientLimits { evict_idle_above, clients, overflow, lingering: overflow },
     )
 }
--- a/src/forwarder/effects.rs
+++ b/src/forwarder/effects.rs
@@ -3,8 +3,8 @@
 use super::{turns, Forwarder};
 use crate::core::{AttemptId, AttemptResult, Effect};
 use crate::flow::WINDOW;
+use crate::front::StreamMemory;
 use crate::interface::{Event, Outcome};
-use crate::memory::Purpose;
 use crate::target::{Start, TransferEvent};
 use crate::tokens::Kind;
 use std::time::Instant;
@@ -62,6 +62,30 @@
 
     /// Moves long values between targets and clients, as far as the receiving side has capacity.
     pub(super) fn relay_transfers(&mut self, now: Instant) {
+        for (attempt, length) in std::mem::take(&mut self.answers_without_memory) {
+            if self.targets.is_running(attempt) {
+                self.begin_answer(now, attempt, length);
+            }
+        }
+        self.relay_events(now);
+        while self.extend_credit(now) {
+            self.relay_events(now);
+        }
+    }
+
+    /// Begins a long answer. Without memory for any of it, it is left with its node for now.
+    fn begin_answer(&mut self, now: Instant, attempt: AttemptId, length: usize) {
+        let Some(memory) = StreamMemory::take(&self.budget, length) else {
+            return self.answers_without_memory.push((attempt, length));
+        };
+        match self.core.begin_stream(attempt) {
+            Some(origin) => self.resp.begin_answer(now, origin, length, memory, &mut self.core),
+            None => self.targets.stop(attempt, Outcome::Cancelled),
+        }
+    }
+
+    /// Allows more of long answers to be read whose receiving side has capacity. Returns whether any was read.
+    fn extend_credit(&mut self, now: Instant) -> bool {
         for attempt in self.targets.blocked_on_client() {
             let Some(origin) = self.core.stream_origin(attempt) else { continue };
             let capacity = self.resp.answer_capacity(origin);
@@ -70,19 +94,14 @@
                 self.targets.grant_credit(now, attempt, capacity);
             }
         }
-        // Data read with the new credit has to be relayed before the attempts' ends are handled.
+        !self.targets.transfer_events.is_empty()
+    }
+
+    /// Passes on what was received. It has to be relayed before the attempts' ends are handled.
+    fn relay_events(&mut self, now: Instant) {
         while let Some((attempt, step)) = self.targets.transfer_events.pop_front() {
             match step {
-                TransferEvent::AnswerStarted(length) => match self.core.begin_stream(attempt) {
-                    Some(origin) => {
-                        let grant = self.budget.grant(Purpose::LongValue, length);
-                        if grant.is_some() {
-                            self.targets.grant_credit(now, attempt, usize::MAX);
-                        }
-                        self.resp.begin_answer(now, origin, length, grant, &mut self.core);
-                    }
-                    None => self.targets.stop(attempt, Outcome::Cancelled),
-                },
+                TransferEvent::AnswerStarted(length) => self.begin_answer(now, attempt, length),
                 TransferEvent::AnswerData(piece) => {
                     if let Some(origin) = self.core.stream_origin(attempt) {
                         self.resp.write_piece(now, origin, &piece, &mut self.core);
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -14,7 +14,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, Files};
 use crate::control::endpoint::AdminEndpoint;
-use crate::core::Core;
+use crate::core::{AttemptId, Core};
 use crate::discovery::{Discovery, ListUpdate};
 use crate::fleet;
 use crate::front::{iscsi, resp, Front};
@@ -67,6 +67,8 @@
     clock: Clock,
     /// Memory for what clients and nodes make this process hold.
     budget: Budget,
+    /// Long answers that have started at their nodes and for which there is no memory yet, with their lengths.
+    answers_without_memory: Vec<(AttemptId, usize)>,
     core: Core,
     planner: Planner,
     /// Client of the remote planners, if any are configured.
--- a/src/forwarder/reports.rs
+++ b/src/forwarder/reports.rs
@@ -1,6 +1,7 @@
 //! The loop's rows of `INFO`: sizes, iteration times, reasons of refusals and accept queues.
 
 use super::Forwarder;
+use crate::front::Front;
 use crate::listener::QueueStats;
 use crate::memory::Purpose;
 use std::time::{Duration, Instant};
@@ -27,13 +28,15 @@
 impl Forwarder {
     /// Updates the sizes that `INFO` shows. A size that only grows reveals a leak.
     pub(super) fn update_sizes(&mut self) {
-        let iscsi =
-            self.iscsi.as_ref().map_or((0, 0), |front| (front.connection_count(), front.buffered_bytes()));
+        let iscsi = self.iscsi.as_ref().map_or(0, Front::connection_count);
         self.core.counters.replies_unparsable = self.targets.unreadable;
         self.core.gauges.clear();
         self.core.gauges.extend([
-            ("clients", self.resp.connection_count() + iscsi.0),
-            ("client_bytes", self.resp.buffered_bytes() + iscsi.1),
+            ("clients", self.resp.connection_count() + iscsi),
+            (
+                "client_bytes",
+                self.resp.buffered_bytes() + self.iscsi.as_ref().map_or(0, Front::buffered_bytes),
+            ),
             ("long_value_bytes", self.budget.used(Purpose::LongValue)),
             ("input_bytes", self.budget.used(Purpose::Input)),
             ("budget_bytes", self.budget.total()),
--- a/src/forwarder/start.rs
+++ b/src/forwarder/start.rs
@@ -57,7 +57,8 @@
             registered.map(|()| stream).map_err(|error| format!("signal pipe: {error}"))
         };
         let (signal, reload) = (register(signals.end, SIGNAL)?, register(signals.reload, RELOAD)?);
-        let (for_targets, client_limits) = connection_budget(&config, (0, 0));
+        let budget = Budget::new(memory_limits(&config, 0));
+        let (for_targets, client_limits) = connection_budget(&config, 0);
         // Clients hold at most a third of the descriptors, one for each request: queued requests take descriptors
         // from later clients.
         let max_queued = config.sockets / QUEUED_DESCRIPTOR_DIVISOR;
@@ -65,9 +66,8 @@
         apply_router_shares(&mut config, &files)?;
         let (wire, settings) = (config.wire.clone(), config.settings.clone());
         let mut nodes = Nodes::new(wire.zones.clone());
-        let targets = Targets::new(wire.connect_timeout, wire.conn_idle, for_targets, now);
+        let targets = Targets::new(wire.connect_timeout, wire.conn_idle, for_targets, budget.clone(), now);
         let retry_after = settings.limits.max_retry_after;
-        let budget = Budget::new(memory_limits(&config, 0));
         let iscsi = config.iscsi.clone().map(|offered| {
             offered.storage.iter().for_each(|storage| nodes.add_iscsi(storage));
             let deadlines = settings.classes.iter().map(|class| class.deadline).collect();
@@ -76,20 +76,29 @@
                 clients: MAX_ISCSI_SESSIONS,
                 overflow: 0,
                 lingering: MAX_ISCSI_SESSIONS / 4,
-                ..client_limits
             };
             let address = offered.listen;
             let target = iscsi::Target::new(offered, deadlines, retry_after, budget.clone(), config.seed);
             open_listener(ListenerAddress::Iscsi(address), address)
                 .and_then(|listener| {
-                    Front::new(target, listener, ISCSI_LISTENER, poll.registry(), clock, client_limits)
+                    Front::new(
+                        target,
+                        listener,
+                        ISCSI_LISTENER,
+                        poll.registry(),
+                        clock,
+                        client_limits,
+                        budget.clone(),
+                    )
                 })
                 .map_err(|error| format!("{address}: {error}"))
         });
         let max_pending = (max_queued / PIPELINE_DIVISOR).clamp(1, MAX_PIPELINED);
         let resp = resp::Resp { wire, retry_after, max_pending, budget: budget.clone() };
         let resp = open_listener(ListenerAddress::Resp(config.listen), config.listen)
-            .and_then(|listener| Front::new(resp, listener, LISTENER, poll.registry(), clock, client_limits))
+            .and_then(|listener| {
+                Front::new(resp, listener, LISTENER, poll.registry(), clock, client_limits, budget.clone())
+            })
             .map_err(|error| format!("{}: {error}", config.listen))?;
         let admin = config.control.map(|address| {
             let admin = open_listener(ListenerAddress::Control(address), address)
@@ -105,7 +114,7 @@
             Planners::new(addresses, partitions, name, settings, config.seed, (clock, now), &mut tokens)
         });
         let mut planner = Planner::new(settings, config.seed, clock);
-        let mut core = Core::new(clock, retry_after);
+        let mut core = Core::new(clock, retry_after, budget.clone());
         core.set_classes(&config.settings.classes);
         let (mut state, mut version) = (State::default(), known.as_ref().map(|known| known.index));
         let mut upgrade = Upgrade::new(upgrade_socket, UPGRADE, now);
@@ -132,6 +141,7 @@
             poll,
             clock,
             budget,
+            answers_without_memory: Vec::new(),
             core,
             planner,
             planners,
--- a/src/forwarder/succession.rs
+++ b/src/forwarder/succession.rs
@@ -142,7 +142,7 @@
 
     /// Applies what the predecessor leaves of the limits.
     pub(super) fn apply_connection_budget(&mut self) {
-        let (for_targets, client_limits) = connection_budget(&self.config, self.predecessor_usage);
+        let (for_targets, client_limits) = connection_budget(&self.config, self.predecessor_usage.0);
         self.targets.set_max_connections(for_targets);
         self.budget.set_limits(memory_limits(&self.config, self.predecessor_usage.1));
         self.resp.set_limits(client_limits);
--- a/src/front/answers.rs
+++ b/src/front/answers.rs
@@ -1,12 +1,11 @@
 //! Answers on their way to clients, whole or piece by piece.
 
-use super::client::{Client, StreamedAnswer};
+use super::client::{Client, StreamMemory, StreamedAnswer};
 use super::protocol::Protocol;
 use super::sweep::SILENCE_TIMEOUT;
 use super::Front;
 use crate::core::{Answer, Core, Origin};
 use crate::flow::WINDOW;
-use crate::memory::Grant;
 use std::time::Instant;
 
 impl<P: Protocol> Front<P> {
@@ -15,25 +14,25 @@
         let Some(client) = self.clients.get_mut(&origin.conn) else { return };
         let mut output = Vec::new();
         self.protocol.write_answer(&mut client.session, origin.sequence, answer, &mut output);
-        client.conn.push(&output);
+        client.conn.push_owned(output);
         client.last_active = now;
         self.resume(now, origin.conn, core);
         self.flush(now, origin.conn, core);
     }
 
-    /// Begins a streamed answer of `length` bytes. With a grant the answer is buffered whole.
+    /// Begins a streamed answer of `length` bytes. With memory for all of it, it is buffered whole.
     pub fn begin_answer(
         &mut self,
         now: Instant,
         origin: Origin,
         length: usize,
-        grant: Option<Grant>,
+        memory: StreamMemory,
         core: &mut Core,
     ) {
         let Some(client) = self.clients.get_mut(&origin.conn) else { return };
         client.streams.push(StreamedAnswer {
             sequence: origin.sequence,
-            grant,
+            memory,
             finished: false,
             released: false,
         });
@@ -57,7 +56,7 @@
         stream.into_iter().for_each(|stream| stream.finished = true);
         let mut output = Vec::new();
         self.protocol.finish_answer(&mut client.session, origin.sequence, &mut output);
-        client.conn.push(&output);
+        client.conn.push_owned(output);
         client.last_active = now;
         self.flush(now, origin.conn, core);
         self.resume(now, origin.conn, core);
@@ -102,8 +101,7 @@
             return Ok(());
         }
         if *next.begun {
-            client.conn.push(next.bytes);
-            *next.bytes = Vec::new();
+            client.conn.push_owned(std::mem::take(next.bytes));
             return client.conn.flush();
         }
         let stream = client.streams.iter().find(|stream| stream.sequence == next.sequence);
@@ -123,6 +121,11 @@
     /// before it has, so that waiting for them would last forever.
     pub fn answer_capacity(&self, origin: Origin) -> usize {
         let Some(client) = self.clients.get(&origin.conn) else { return 0 };
+        let stream = client.streams.iter().find(|stream| stream.sequence == origin.sequence);
+        if stream.is_some_and(|stream| matches!(stream.memory, StreamMemory::Whole(_))) {
+            // In steps: what was read from the node and not yet passed on exists beside the grant.
+            return 2 * WINDOW;
+        }
         let ahead = self.protocol.buffered_bytes_through(&client.session, origin.sequence);
         WINDOW.saturating_sub(client.conn.unwritten() + ahead)
     }
@@ -156,12 +159,12 @@
                 .streams
                 .retain(|stream| !stream.finished || protocol.is_unanswered(session, stream.sequence));
         }
-        let granted: usize =
-            client.streams.iter().filter_map(|stream| stream.grant.as_ref()).map(Grant::bytes).sum();
+        let granted: usize = client.streams.iter().map(|stream| stream.memory.bytes()).sum();
         let answer_bytes = unwritten + self.protocol.buffered_answer_bytes(&client.session);
-        let buffered_bytes = answer_bytes.saturating_sub(granted) + client.conn.input.len();
-        self.buffered_bytes = self.buffered_bytes + buffered_bytes
-            - std::mem::replace(&mut client.buffered_bytes, buffered_bytes);
+        let previously_buffered = client.buffered_bytes();
+        client.answer_memory.resize(answer_bytes.saturating_sub(granted));
+        client.input_memory.resize(client.conn.input.capacity());
+        self.buffered_bytes = self.buffered_bytes + client.buffered_bytes() - previously_buffered;
         // While shedding, clients are closed as soon as they are idle. A redirected client that keeps sending
         // commands is closed after a timeout.
         let shedding =
--- a/src/front/client.rs
+++ b/src/front/client.rs
@@ -4,15 +4,15 @@
 use super::idle::IdlePosition;
 use super::reading::ReadProgress;
 use crate::conn::Conn;
-use crate::memory::Grant;
+use crate::flow::WINDOW;
+use crate::memory::{Budget, Grant, Purpose};
 use std::time::Instant;
 
 /// A long answer that is passed on while it is received.
 pub(super) struct StreamedAnswer {
     /// The command that it answers.
     pub sequence: u64,
-    /// Memory for all of it. Without a grant it is received only as fast as the client reads.
-    pub grant: Option<Grant>,
+    pub memory: StreamMemory,
     /// All of it was received.
     pub finished: bool,
     /// It is passed on as it comes, also while other commands wait behind it.
@@ -20,10 +20,34 @@
 }
 
 impl StreamedAnswer {
-    /// Whether it can be held back until it is whole. One without a grant can't: it is received only as far as it is
+    /// Whether it can be held back until it is whole. One with a window can't: it is received only as far as it is
     /// passed on.
     pub fn may_be_held(&self) -> bool {
-        self.grant.is_some() && !self.released
+        matches!(self.memory, StreamMemory::Whole(_)) && !self.released
+    }
+}
+
+/// Memory of a long answer on its way from a node to a client.
+#[derive(Debug)]
+pub enum StreamMemory {
+    /// For all of it.
+    Whole(Grant),
+    /// For a part of it: it is received only as fast as the client reads.
+    Window(Grant),
+}
+
+impl StreamMemory {
+    /// Takes memory for an answer of `length` bytes, if possible for all of it.
+    pub fn take(budget: &Budget, length: usize) -> Option<Self> {
+        let whole = budget.grant(Purpose::LongValue, length).map(StreamMemory::Whole);
+        whole.or_else(|| budget.grant(Purpose::Window, WINDOW).map(StreamMemory::Window))
+    }
+
+    /// Bytes that are granted.
+    pub fn bytes(&self) -> usize {
+        match self {
+            StreamMemory::Whole(grant) | StreamMemory::Window(grant) => grant.bytes(),
+        }
     }
 }
 
@@ -39,8 +63,9 @@
     pub reading: ReadProgress,
     /// Since when an incomplete command has made no progress.
     pub partial_since: Option<Instant>,
-    /// Bytes buffered for it when last counted, less those granted to long answers.
-    pub buffered_bytes: usize,
+    /// Memory for its input, and for its answers less what is granted to long ones.
+    pub input_memory: Grant,
+    pub answer_memory: Grant,
     /// Streamed answers that are not finished or not sent yet.
     pub streams: Vec<StreamedAnswer>,
     /// The first byte of a streamed answer waits for the socket to accept it.
@@ -55,6 +80,8 @@
     pub arrivals: ArrivalTimes,
     /// Reading is suspended; more input may wait in the kernel.
     pub paused: bool,
+    /// It is not read on because there is no memory for its input.
+    pub waits_for_memory: bool,
     /// It is in the backlog.
     pub queued: bool,
     /// Its position among the clients that may be evicted.
@@ -65,7 +92,14 @@
 
 impl<S> Client<S> {
     /// A client that has just connected to an endpoint.
-    pub fn new(conn: Conn, session: S, endpoint: usize, is_overflow: bool, now: Instant) -> Self {
+    pub fn new(
+        conn: Conn,
+        session: S,
+        endpoint: usize,
+        is_overflow: bool,
+        budget: &Budget,
+        now: Instant,
+    ) -> Self {
         Client {
             conn,
             session,
@@ -74,7 +108,8 @@
             last_write_progress: now,
             reading: ReadProgress::new(now),
             partial_since: None,
-            buffered_bytes: 0,
+            input_memory: budget.hold(Purpose::Input, 0),
+            answer_memory: budget.hold(Purpose::Request, 0),
             streams: Vec::new(),
             stream_blocked: false,
             is_overflow,
@@ -82,12 +117,18 @@
             redirected_since: None,
             arrivals: ArrivalTimes::default(),
             paused: false,
+            waits_for_memory: false,
             queued: false,
             idle_position: None,
             closing_since: None,
         }
     }
 
+    /// Bytes buffered for it when last counted, less those granted to long answers.
+    pub fn buffered_bytes(&self) -> usize {
+        self.input_memory.bytes() + self.answer_memory.bytes()
+    }
+
     /// Whether all output that may be written now was passed to the kernel.
     pub fn all_written(&self) -> bool {
         self.conn.unwritten() == 0 && !self.stream_blocked
--- a/src/front/endpoints.rs
+++ b/src/front/endpoints.rs
@@ -216,7 +216,8 @@
         // Without it answers are still sent, only later.
         let _ = stream.set_nodelay(true);
         if let Ok(conn) = Conn::new(stream, token, registry) {
-            let mut client = Client::new(conn, self.protocol.new_session(), endpoint, is_overflow, now);
+            let mut client =
+                Client::new(conn, self.protocol.new_session(), endpoint, is_overflow, &self.budget, now);
             if let Some(arrival) = arrival {
                 client.arrivals.mark_pending(arrival);
             }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -23,6 +23,7 @@
 use crate::conn::ReadEnd;
 use crate::core::Core;
 use crate::listener::Listener;
+use crate::memory::{Budget, Purpose};
 use crate::service::ClientPolicy;
 use client::Client;
 use endpoints::Endpoint;
@@ -34,6 +35,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+pub use client::StreamMemory;
 pub use protocol::{CloseConnection, Declined, Intake, Protocol, UnfinishedAnswer};
 pub use room::ClientLimits;
 
@@ -41,6 +43,8 @@
 const MAX_UNSENT_BYTES: usize = 64 * 1024;
 /// Unparsed input of a connection: the largest command that is read whole, and some reserve.
 const MAX_INPUT_BYTES: usize = 80 * 1024;
+/// Input that every connection may have buffered, however little memory there is: the head of any usual command.
+const MIN_INPUT_BYTES: usize = 2 * 1024;
 /// Commands taken from one connection in one iteration of the loop.
 const MAX_COMMANDS_PER_ITERATION: usize = 32;
 /// Clients processed in one iteration of the loop. Answers of nodes and the next attempts wait for at least one
@@ -78,8 +82,11 @@
     /// Whether input may be older than that, so that the kernel is asked for its age.
     verifies_arrivals: bool,
     next_timeout_check: Instant,
-    /// Bytes buffered for clients: incomplete commands and unsent answers.
+    /// Memory for what clients make this process hold, and how much of it they use.
+    budget: Budget,
     buffered_bytes: usize,
+    /// Clients that are not read on because there is no memory for their input.
+    waiting_for_memory: Vec<usize>,
     /// Connections that were closed from this side and whose clients have not closed yet.
     lingering: LingeringConns,
 }
@@ -102,12 +109,13 @@
         registry: &Registry,
         clock: Clock,
         limits: ClientLimits,
+        budget: Budget,
     ) -> std::io::Result<Self> {
         listener.register(token, registry)?;
         let (clients, backlog) = (FxHashMap::default(), VecDeque::new());
         let endpoints = vec![Endpoint { listener: Some(listener), retired: false }];
         let client_policy = ClientPolicy { ready: true, keep_idle: false, shed_from: None, hand_over: false };
-        let (accepting, next_timeout_check, buffered_bytes) = (true, Instant::now(), 0);
+        let (accepting, next_timeout_check) = (true, Instant::now());
         Ok(Front {
             protocol,
             endpoints,
@@ -124,7 +132,9 @@
             earliest_arrival: next_timeout_check,
             verifies_arrivals: false,
             next_timeout_check,
-            buffered_bytes,
+            budget,
+            buffered_bytes: 0,
+            waiting_for_memory: Vec::new(),
             lingering: LingeringConns::default(),
         })
     }
@@ -134,7 +144,7 @@
         self.clients.len() + self.lingering.len()
     }
 
-    /// Bytes buffered for clients.
+    /// Bytes buffered for clients: incomplete commands and unsent answers, less what is granted to long ones.
     pub fn buffered_bytes(&self) -> usize {
         self.buffered_bytes
     }
@@ -147,7 +157,7 @@
 
     /// When [`Front::run_iteration`] has work to do.
     pub fn next_timer(&self, now: Instant) -> Instant {
-        if !self.backlog.is_empty() {
+        if !self.backlog.is_empty() || self.may_read_on() {
             return now;
         }
         let next =
@@ -216,6 +226,12 @@
         next_token: impl FnMut() -> Token,
         core: &mut Core,
     ) {
+        if self.may_read_on() {
+            for id in std::mem::take(&mut self.waiting_for_memory) {
+                self.clients.get_mut(&id).into_iter().for_each(|client| client.waits_for_memory = false);
+                self.enqueue(id);
+            }
+        }
         for _ in 0..self.backlog.len().min(MAX_CLIENTS_PER_ITERATION - self.processed_clients) {
             let Some(id) = self.backlog.pop_front() else { break };
             self.clients.get_mut(&id).into_iter().for_each(|client| client.queued = false);
@@ -230,6 +246,19 @@
         }
     }
 
+    /// Whether there is memory again for clients that wait for it.
+    fn may_read_on(&self) -> bool {
+        !self.waiting_for_memory.is_empty() && self.budget.available(Purpose::Input) >= MAX_INPUT_BYTES
+    }
+
+    /// How many bytes of input a client may have buffered, and whether it is memory that limits that.
+    fn input_limit(protocol: &P, budget: &Budget, client: &Client<P::Session>) -> (usize, bool) {
+        let usable = protocol.max_input(&client.session);
+        let affordable = client.input_memory.bytes() + budget.available(Purpose::Input);
+        let affordable = affordable.max(MIN_INPUT_BYTES);
+        (usable.min(affordable), affordable < usable)
+    }
+
     /// Closes a connection from this side with a lingering close: input that crosses the close is neither read
     /// as a request nor makes the kernel reset the connection, which would lose answers that were already
     /// written.
@@ -310,7 +339,7 @@
 
     fn process_input(&mut self, now: Instant, id: usize, core: &mut Core) {
         self.promote_overflow_client(id);
-        let full = core.body_bytes() + self.buffered_bytes > self.limits.bytes;
+        let full = self.budget.available(Purpose::Request) == 0;
         let Some(client) = self.clients.get_mut(&id) else { return };
         let retired = self.endpoints[client.endpoint].retired;
         let decline = match (retired, full || client.is_overflow) {
@@ -336,7 +365,8 @@
                 return;
             }
             let before = client.conn.input.len();
-            let end = client.conn.read(MAX_INPUT_BYTES);
+            let (input_limit, short_of_memory) = Self::input_limit(&self.protocol, &self.budget, client);
+            let end = client.conn.read(input_limit);
             if end.is_over() {
                 return self.drop_client(id, core);
             }
@@ -379,6 +409,10 @@
             if offset == 0 {
                 // The session is at its limit; it resumes when an answer frees capacity.
                 client.paused = end == ReadEnd::Paused || !client.conn.input.is_empty();
+                let waits = short_of_memory && end == ReadEnd::Paused;
+                if waits && !std::mem::replace(&mut client.waits_for_memory, true) {
+                    self.waiting_for_memory.push(id);
+                }
                 return;
             }
             if end == ReadEnd::Blocked && client.conn.unwritten() <= MAX_UNSENT_BYTES {
@@ -392,7 +426,7 @@
         let client = self.clients.remove(&id)?;
         self.overflow_count -= usize::from(client.is_overflow);
         self.idle_order.move_to(id, client.idle_position, None);
-        self.buffered_bytes -= client.buffered_bytes;
+        self.buffered_bytes -= client.buffered_bytes();
         Some(client)
     }
 
--- a/src/front/protocol.rs
+++ b/src/front/protocol.rs
@@ -2,6 +2,7 @@
 //! core.
 
 use super::arrivals::ArrivalTimes;
+use super::MAX_INPUT_BYTES;
 use crate::clock::Clock;
 use crate::core::{Answer, Content, Core, Origin};
 use crate::interface::{NewRequest, RequestId};
@@ -65,6 +66,11 @@
         0
     }
 
+    /// Most bytes of unparsed input that the session can use now.
+    fn max_input(&self, _: &Self::Session) -> usize {
+        MAX_INPUT_BYTES
+    }
+
     /// Whether the head of a command was taken and its body is still being received.
     fn is_receiving_body(&self, _: &Self::Session) -> bool {
         false
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -7,13 +7,15 @@
 use crate::core::{Answer, Content, Operation};
 use crate::flow::{BodyStream, MAX_VALUE_BYTES, STREAM_THRESHOLD};
 use crate::interface::{NewRequest, RequestId, VolumeId};
-use crate::memory::{Budget, Purpose};
+use crate::memory::Budget;
 use crate::resp::{self, Value};
 use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Maximum length of a request id.
 const MAX_ID_BYTES: usize = 64;
+/// Bytes that end a body.
+const TERMINATOR: &[u8] = b"\r\n";
 /// Elements of a write command, with the body last.
 const PUT_ELEMENTS: usize = 5;
 /// Time within which a body must arrive completely; bounds clients that send it byte by byte forever.
@@ -204,6 +206,18 @@
         through.filter_map(|pending| pending.answer.as_ref()).map(Vec::len).sum()
     }
 
+    fn max_input(&self, session: &Session) -> usize {
+        match &session.receiving {
+            // What the body can't take stays with the kernel.
+            Some(receiving) => {
+                let capacity = receiving.body_stream.capacity();
+                let terminator = if receiving.body_stream.is_ending() { TERMINATOR.len() } else { 0 };
+                (capacity + terminator).min(MAX_INPUT_BYTES)
+            }
+            None => MAX_INPUT_BYTES,
+        }
+    }
+
     fn is_receiving_body(&self, session: &Session) -> bool {
         session.receiving.is_some()
     }
@@ -240,7 +254,7 @@
         let sequence = session.next_sequence;
         let mut words: Vec<Value> = head.words.into_iter().map(|word| Value::Bulk(Some(word))).collect();
         words.push(Value::Bulk(Some(Vec::new())));
-        let body_stream = BodyStream::new(head.length, self.budget.grant(Purpose::LongValue, head.length));
+        let body_stream = BodyStream::take(&self.budget, head.length);
         let mut pending = Pending { sequence, ..Pending::default() };
         let (mut timeout, mut unsubmitted) = (Duration::ZERO, None);
         match read_command(Value::Array(Some(words)), &self.wire) {
@@ -256,7 +270,8 @@
                 pending.answer = Some(error_line(&reason));
             }
         }
-        if let Some(reason) = intake.decline.filter(|_| unsubmitted.is_some()) {
+        let no_memory = body_stream.is_discarded().then_some(Declined::AtCapacity);
+        if let Some(reason) = intake.decline.or(no_memory).filter(|_| unsubmitted.is_some()) {
             // Answered before the body is received, so that the client need not send it.
             (unsubmitted, pending.answer) = (None, Some(self.decline_answer(reason)));
         }
@@ -289,10 +304,10 @@
         let complete = body_stream.is_complete();
         let mut done = false;
         if complete {
-            match input.get(count..count + 2) {
-                Some(b"\r\n") => {
+            match input.get(count..count + TERMINATOR.len()) {
+                Some(terminator) if terminator == TERMINATOR => {
                     body_stream.terminate();
-                    (count, done) = (count + 2, true);
+                    (count, done) = (count + TERMINATOR.len(), true);
                 }
                 Some(_) => {
                     let answer = Some(error_line("Protocol error: a bulk string ends without CRLF"));
@@ -361,7 +376,13 @@
     fn write_ready_answers(&mut self, output: &mut Vec<u8>) {
         let whole = |pending: &mut Pending| pending.answer.is_some() && !pending.unfinished;
         while let Some(pending) = self.pending.pop_front_if(whole) {
-            output.extend(pending.answer.unwrap_or_default());
+            let answer = pending.answer.unwrap_or_default();
+            // A long answer is not copied.
+            if output.is_empty() {
+                *output = answer;
+            } else {
+                output.extend(answer);
+            }
         }
     }
 
--- a/src/front/room.rs
+++ b/src/front/room.rs
@@ -28,8 +28,6 @@
     pub overflow: usize,
     /// Further connections that are closed from this side and wait for the client to close.
     pub lingering: usize,
-    /// Bytes of the bodies of open requests and of all buffers of clients.
-    pub bytes: usize,
 }
 
 /// What happens to a new connection.
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -1,11 +1,17 @@
 use super::*;
 use crate::config::Wire;
+use crate::memory::Limits;
 use mio::Poll;
 use room::MIN_SILENCE_BEFORE_EVICTION;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 
 /// A front on a port chosen by the system.
+/// A budget without limits.
+fn no_limits() -> Budget {
+    Budget::new(Limits::NONE)
+}
+
 fn front(poll: &Poll, clock: Clock, limits: ClientLimits) -> Front<resp::Resp> {
     let second = Duration::from_secs(1);
     let wire = Wire {
@@ -18,18 +24,19 @@
         peers: false,
     };
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let budget = crate::memory::Budget::new(crate::memory::Limits::NONE);
+    let budget = no_limits();
     let resp = resp::Resp { wire, retry_after: second, max_pending: 64, budget };
-    Front::new(resp, Listener::open(any).unwrap(), Token(0), poll.registry(), clock, limits).unwrap()
+    Front::new(resp, Listener::open(any).unwrap(), Token(0), poll.registry(), clock, limits, no_limits())
+        .unwrap()
 }
 
 #[test]
 fn commands_of_one_client_are_limited_per_iteration() {
     let poll = Poll::new().unwrap();
     let (clock, second, now) = (Clock::start(), Duration::from_secs(1), Instant::now());
-    let limits = ClientLimits { evict_idle_above: 4, clients: 4, overflow: 0, lingering: 1, bytes: 1 << 20 };
+    let limits = ClientLimits { evict_idle_above: 4, clients: 4, overflow: 0, lingering: 1 };
     let mut front = front(&poll, clock, limits);
-    let mut core = Core::new(clock, second);
+    let mut core = Core::new(clock, second, no_limits());
     let mut client = std::net::TcpStream::connect(front.address().unwrap()).unwrap();
     let ping = b"*1\r\n$4\r\nPING\r\n";
     client.write_all(&ping.repeat(3 * MAX_COMMANDS_PER_ITERATION)).unwrap();
@@ -57,10 +64,9 @@
     let poll = Poll::new().unwrap();
     let (clock, second, start) = (Clock::start(), Duration::from_secs(1), Instant::now());
     let count = MAX_CLIENTS_PER_ITERATION + 6;
-    let limits =
-        ClientLimits { evict_idle_above: count, clients: count, overflow: 0, lingering: 1, bytes: 1 << 20 };
+    let limits = ClientLimits { evict_idle_above: count, clients: count, overflow: 0, lingering: 1 };
     let mut front = front(&poll, clock, limits);
-    let (mut core, mut token) = (Core::new(clock, second), 0);
+    let (mut core, mut token) = (Core::new(clock, second, no_limits()), 0);
     let address = front.address().unwrap();
     let mut clients: Vec<_> = (0..count).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
     let mut next = || {
@@ -98,7 +104,7 @@
 ) -> (Front<resp::Resp>, Vec<std::net::TcpStream>, Core) {
     let clock = Clock::start();
     let mut front = front(poll, clock, limits);
-    let mut core = Core::new(clock, Duration::from_secs(1));
+    let mut core = Core::new(clock, Duration::from_secs(1), no_limits());
     let silent = (0..limits.clients)
         .map(|_| std::net::TcpStream::connect(front.address().unwrap()).unwrap())
         .collect();
@@ -150,8 +156,7 @@
 #[test]
 fn silent_clients_are_evicted_and_answered_ones_stay() {
     let poll = Poll::new().unwrap();
-    let limits =
-        ClientLimits { evict_idle_above: 20, clients: 20, overflow: 4, lingering: 4, bytes: 1 << 20 };
+    let limits = ClientLimits { evict_idle_above: 20, clients: 20, overflow: 4, lingering: 4 };
     let (mut front, _silent, mut core) = front_full_of_silent_clients(&poll, limits);
     let served: Vec<_> = (0..6).map(|_| connect_and_ping(&mut front, &poll, &mut core)).collect();
     let ids: Vec<usize> =
@@ -191,7 +196,7 @@
 #[test]
 fn a_request_is_declined_if_half_its_time_passed_before_accept() {
     let poll = Poll::new().unwrap();
-    let limits = ClientLimits { evict_idle_above: 4, clients: 4, overflow: 1, lingering: 1, bytes: 1 << 20 };
+    let limits = ClientLimits { evict_idle_above: 4, clients: 4, overflow: 1, lingering: 1 };
     let (mut front, _silent, mut core) = front_full_of_silent_clients(&poll, limits);
     configure_class_and_plan(&mut front);
     let mut client = std::net::TcpStream::connect(front.address().unwrap()).unwrap();
@@ -215,7 +220,7 @@
 #[test]
 fn request_age_comes_from_the_kernel_if_the_process_may_have_been_stopped() {
     let poll = Poll::new().unwrap();
-    let limits = ClientLimits { evict_idle_above: 4, clients: 4, overflow: 1, lingering: 1, bytes: 1 << 20 };
+    let limits = ClientLimits { evict_idle_above: 4, clients: 4, overflow: 1, lingering: 1 };
     let (mut front, mut clients, mut core) = front_full_of_silent_clients(&poll, limits);
     let id = *front.clients.keys().min().unwrap();
     configure_class_and_plan(&mut front);
@@ -238,7 +243,7 @@
 #[test]
 fn a_silent_client_that_lost_its_slot_is_answered_and_not_reset() {
     let poll = Poll::new().unwrap();
-    let limits = ClientLimits { evict_idle_above: 4, clients: 4, overflow: 2, lingering: 2, bytes: 1 << 20 };
+    let limits = ClientLimits { evict_idle_above: 4, clients: 4, overflow: 2, lingering: 2 };
     let (mut front, mut silent, mut core) = front_full_of_silent_clients(&poll, limits);
     connect_and_ping(&mut front, &poll, &mut core);
     assert_eq!((front.served_count(), front.overflow_count), (limits.clients, 1));
@@ -261,10 +266,10 @@
 #[test]
 fn connections_stay_within_the_client_and_overflow_limits() {
     let poll = Poll::new().unwrap();
-    let limits = ClientLimits { evict_idle_above: 4, clients: 4, overflow: 1, lingering: 1, bytes: 1 << 20 };
+    let limits = ClientLimits { evict_idle_above: 4, clients: 4, overflow: 1, lingering: 1 };
     let clock = Clock::start();
     let mut front = front(&poll, clock, limits);
-    let mut core = Core::new(clock, Duration::from_secs(1));
+    let mut core = Core::new(clock, Duration::from_secs(1), no_limits());
     let address = front.address().unwrap();
     let connect_with_partial_command = || {
         let mut client = std::net::TcpStream::connect(address).unwrap();
@@ -292,8 +297,7 @@
 fn a_connection_that_is_only_writable_counts_as_silent() {
     let poll = Poll::new().unwrap();
     let count = MAX_CLIENTS_PER_ITERATION + 20;
-    let limits =
-        ClientLimits { evict_idle_above: count, clients: count, overflow: 1, lingering: 1, bytes: 1 << 20 };
+    let limits = ClientLimits { evict_idle_above: count, clients: count, overflow: 1, lingering: 1 };
     let (mut front, _silent, mut core) = front_full_of_silent_clients(&poll, limits);
     let now = Instant::now();
     let ids: Vec<usize> = front.clients.keys().copied().collect();
@@ -308,8 +312,7 @@
 #[test]
 fn the_front_counts_as_at_capacity_for_a_while_after_a_connection_found_no_slot() {
     let poll = Poll::new().unwrap();
-    let limits =
-        ClientLimits { evict_idle_above: 20, clients: 20, overflow: 4, lingering: 4, bytes: 1 << 20 };
+    let limits = ClientLimits { evict_idle_above: 20, clients: 20, overflow: 4, lingering: 4 };
     let (mut front, _silent, mut core) = front_full_of_silent_clients(&poll, limits);
     drop(connect_and_ping(&mut front, &poll, &mut core));
     let newest = front.clients.keys().copied().max().unwrap();
@@ -328,7 +331,7 @@
     use crate::core::{AttemptId, AttemptResult, Effect};
     use crate::interface::{Action, NodeId, Outcome};
     let poll = Poll::new().unwrap();
-    let limits = ClientLimits { evict_idle_above: 4, clients: 1, overflow: 1, lingering: 1, bytes: 1 << 20 };
+    let limits = ClientLimits { evict_idle_above: 4, clients: 1, overflow: 1, lingering: 1 };
     let (mut front, mut clients, mut core) = front_full_of_silent_clients(&poll, limits);
     let id = *front.clients.keys().min().unwrap();
     configure_class_and_plan(&mut front);
@@ -346,7 +349,8 @@
     core.drain_effects();
     let attempt = AttemptId { request: long, number: 0 };
     let origin = core.begin_stream(attempt).unwrap();
-    front.begin_answer(now, origin, 100_000, None, &mut core);
+    let memory = StreamMemory::Window(no_limits().hold(Purpose::Window, 0));
+    front.begin_answer(now, origin, 100_000, memory, &mut core);
     front.write_piece(now, origin, b"a part of the value", &mut core);
     // Both attempts end before any effect is applied.
     let served = AttemptResult { value: b"v".to_vec(), ..AttemptResult::without_reply(Outcome::Served) };
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -9,18 +9,21 @@
 pub enum Purpose {
     /// Long values that are held whole.
     LongValue,
+    /// Parts of long values that are passed on as they come.
+    Window,
     /// Commands and bodies that are not whole yet.
     Input,
     /// Open requests, their bodies and answers.
     Request,
 }
 
-const PURPOSES: usize = 3;
+const PURPOSES: usize = 4;
 
 /// Most bytes that may be granted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     pub long_values: usize,
+    pub windows: usize,
     pub input: usize,
     pub requests: usize,
     /// For all purposes together.
@@ -30,12 +33,18 @@
 impl Limits {
     /// No limits.
     #[cfg(test)]
-    pub const NONE: Limits =
-        Limits { long_values: usize::MAX, input: usize::MAX, requests: usize::MAX, total: usize::MAX };
+    pub const NONE: Limits = Limits {
+        long_values: usize::MAX,
+        windows: usize::MAX,
+        input: usize::MAX,
+        requests: usize::MAX,
+        total: usize::MAX,
+    };
 
     fn of(&self, purpose: Purpose) -> usize {
         match purpose {
             Purpose::LongValue => self.long_values,
+            Purpose::Window => self.windows,
             Purpose::Input => self.input,
             Purpose::Request => self.requests,
         }
--- a/src/memory/tests.rs
+++ b/src/memory/tests.rs
@@ -1,10 +1,11 @@
 use super::*;
 use proptest::prelude::*;
 
-const LIMITS: Limits = Limits { long_values: 20_000, input: 8_000, requests: 10_000, total: 30_000 };
+const LIMITS: Limits =
+    Limits { long_values: 20_000, windows: 6_000, input: 8_000, requests: 10_000, total: 30_000 };
 
 fn purpose() -> impl Strategy<Value = Purpose> {
-    prop_oneof![Just(Purpose::LongValue), Just(Purpose::Input), Just(Purpose::Request)]
+    prop_oneof![Just(Purpose::LongValue), Just(Purpose::Window), Just(Purpose::Input), Just(Purpose::Request)]
 }
 
 proptest! {
@@ -20,7 +21,7 @@
             } else if let Some(grant) = budget.grant(purpose, bytes) {
                 grants.push(grant);
             }
-            for purpose in [Purpose::LongValue, Purpose::Input, Purpose::Request] {
+            for purpose in [Purpose::LongValue, Purpose::Window, Purpose::Input, Purpose::Request] {
                 let of_purpose = grants.iter().filter(|grant| grant.purpose == purpose);
                 prop_assert_eq!(budget.used(purpose), of_purpose.map(Grant::bytes).sum::<usize>());
                 prop_assert!(budget.used(purpose) <= LIMITS.of(purpose));
--- a/src/target/iscsi.rs
+++ b/src/target/iscsi.rs
@@ -223,6 +223,10 @@
         self.task.as_ref().is_none_or(|task| task.sent >= task.body.len())
     }
 
+    fn buffered_bytes(&self) -> usize {
+        self.task.as_ref().map_or(0, |task| task.body.len() + task.value.capacity())
+    }
+
     fn input(&mut self, input: &mut Vec<u8>, output: &mut Vec<u8>) -> Result<Step, String> {
         while let Some((pdu, length)) = Pdu::parse(input, MAX_DATA_BYTES)? {
             input.drain(..length);
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -9,8 +9,9 @@
 
 use crate::conn::{Conn, Connecting, ReadEnd};
 use crate::core::{AttemptId, AttemptResult, Content};
-use crate::flow::{BodyStream, WINDOW};
+use crate::flow::BodyStream;
 use crate::interface::{NodeId, Outcome};
+use crate::memory::{Budget, Grant, Purpose};
 use mio::{Registry, Token};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::{BTreeSet, VecDeque};
@@ -26,6 +27,8 @@
 const TRANSFER_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// How often long transfers are checked for a stall.
 const TRANSFER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Most bytes of a long body that are queued for a connection at a time.
+const BODY_PIECE_BYTES: usize = 32 * 1024;
 /// Fraction of the nodes' own idle timeout after which an idle connection is closed from this side: a request written
 /// to a connection that the node has just closed would end as a reset.
 const IDLE_LIMIT_FRACTION: f64 = 0.5;
@@ -44,6 +47,11 @@
     /// Whether the session has written the last byte of the attempt to its output.
     fn is_sent(&self) -> bool;
 
+    /// Bytes that are kept for the attempt.
+    fn buffered_bytes(&self) -> usize {
+        0
+    }
+
     /// Reads received bytes. Returns an error if the peer violates the protocol.
     fn input(&mut self, input: &mut Vec<u8>, output: &mut Vec<u8>) -> Result<Step, String>;
 }
@@ -141,6 +149,8 @@
     reported_slow: bool,
     /// Bytes of a long answer that may still be read, once it has started.
     credit: Option<usize>,
+    /// Memory for what is buffered.
+    memory: Grant,
 }
 
 impl Connection {
@@ -149,6 +159,12 @@
         self.pending.is_none() && self.body.is_none() && self.session.is_sent() && self.conn.unwritten() == 0
     }
 
+    /// Counts what is buffered.
+    fn count_memory(&mut self) {
+        let bytes = self.conn.input.capacity() + self.conn.unwritten() + self.session.buffered_bytes();
+        self.memory.resize(bytes);
+    }
+
     /// Whether no byte of the attempt was handed to the kernel.
     fn is_unsent(&self) -> bool {
         self.pending.is_some() || (!self.conn.has_begun() && self.conn.unwritten() > 0)
@@ -165,7 +181,7 @@
             if self.conn.unwritten() > 0 {
                 break;
             }
-            let piece = flow.copy(*at, WINDOW);
+            let piece = flow.copy(*at, BODY_PIECE_BYTES);
             *at += piece.len();
             flow.release(*at);
             self.conn.push(&piece);
@@ -221,6 +237,7 @@
     next_sweep: Instant,
     next_transfer_check: Instant,
     max_connections: usize,
+    budget: Budget,
     /// Progress of long values since it was last taken.
     pub transfer_events: VecDeque<(AttemptId, TransferEvent)>,
     /// Attempts with long values, to be checked for a stall.
@@ -233,7 +250,13 @@
 
 impl Targets {
     /// At most `max_connections` are open at a time.
-    pub fn new(connect_timeout: Duration, conn_idle: Duration, max_connections: usize, now: Instant) -> Self {
+    pub fn new(
+        connect_timeout: Duration,
+        conn_idle: Duration,
+        max_connections: usize,
+        budget: Budget,
+        now: Instant,
+    ) -> Self {
         Targets {
             conns: FxHashMap::default(),
             by_attempt: FxHashMap::default(),
@@ -250,6 +273,7 @@
             next_sweep: now,
             next_transfer_check: now,
             max_connections,
+            budget,
             ended: Vec::new(),
         }
     }
@@ -289,6 +313,7 @@
                 if !connection.all_written() {
                     self.unsent.insert((begin_by, id));
                 }
+                connection.count_memory();
                 self.continue_body(now, attempt);
             }
             return;
@@ -319,6 +344,7 @@
             answer_started: None,
             reported_slow: false,
             credit: None,
+            memory: self.budget.hold(Purpose::Request, 0),
         };
         self.conns.insert(token.0, connection);
         self.by_node.entry(node).or_default().insert(token.0);
@@ -446,8 +472,19 @@
         }
     }
 
+    /// Whether an attempt has not ended.
+    pub fn is_running(&self, attempt: AttemptId) -> bool {
+        self.by_attempt.contains_key(&attempt)
+    }
+
     /// Handles readiness of a connection.
     pub fn ready(&mut self, now: Instant, id: usize) {
+        self.advance(now, id);
+        self.conns.get_mut(&id).into_iter().for_each(Connection::count_memory);
+    }
+
+    /// Writes and reads as much as the connection permits.
+    fn advance(&mut self, now: Instant, id: usize) {
         let Some(connection) = self.conns.get_mut(&id) else { return };
         if connection.attempt.is_some() && connection.begin_by <= now && !connection.all_written() {
             // The connection came up late, the node reads slowly, or this process was suspended.
@@ -512,7 +549,7 @@
                     }
                     connection.answer_started.get_or_insert(now);
                     (connection.credit, connection.last_progress, connection.partial_since) =
-                        (Some(WINDOW), now, None);
+                        (Some(0), now, None);
                     self.transfer_events.push_back((attempt, TransferEvent::AnswerStarted(length)));
                     self.long_attempts.push(attempt);
                 }
--- a/src/target/tests.rs
+++ b/src/target/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::core::Operation;
 use crate::interface::RequestId;
+use crate::memory::Limits;
 use mio::{Events, Poll};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -18,7 +19,7 @@
 impl Harness {
     fn new(now: Instant) -> Harness {
         let node = TcpListener::bind("127.0.0.1:0").unwrap();
-        let targets = Targets::new(TIMEOUT, TIMEOUT, 8, now);
+        let targets = Targets::new(TIMEOUT, TIMEOUT, 8, Budget::new(Limits::NONE), now);
         Harness { poll: Poll::new().unwrap(), targets, node, started: 0 }
     }
 
--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -63,6 +63,8 @@
     pub aim_ms: u64,
     /// Limit of open descriptors (`ulimit -n`); the inherited limit if 0.
     pub descriptors: u32,
+    /// Limit of sockets in the configuration; 256 if 0.
+    pub sockets: u32,
     /// Memory limit in MB; 192 if 0.
     pub memory_mb: u64,
     /// Opens an admin endpoint.
@@ -209,10 +211,11 @@
             settings.replace(usual, other)
         });
         let memory = if setup.memory_mb == 0 { 192 } else { setup.memory_mb };
+        let sockets = if setup.sockets == 0 { 256 } else { setup.sockets };
         let list = if setup.initial_list.is_empty() { "null" } else { &setup.initial_list };
         format!(
             r#"{{"name":"{name}","listen":"{listen}","control":{control},"discovery":"{discovery}",
-             "seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{memory},"sockets":256}},"known":{list},
+             "seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{memory},"sockets":{sockets}}},"known":{list},
              "settings":{settings}}}"#
         )
     }
@@ -255,6 +258,13 @@
         topazpath::process::resident_memory(self.child.id()).unwrap() as u64 / 1024
     }
 
+    /// Most resident memory that the process had since its start, in kB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Replaces the configuration by one with this address of discovery and has the program reload it.
     pub fn reload(&self, discovery: &str) {
         std::fs::write(self.dir.join("new.json"), self.config.replace("DISCOVERY", discovery)).unwrap();
--- a/tests/net/main.rs
+++ b/tests/net/main.rs
@@ -7,6 +7,7 @@
 mod iscsi;
 mod lateness;
 mod long_values;
+mod memory;
 mod operators;
 mod planner;
 mod resp;
