A long body without memory is answered within its client's time

Cause: the client's time began when the last byte was read. What is not read for want of memory may be in the system's buffers whole.

What is not whole is refused, not failed.

Why it works: it is the earliest time at which the last byte can have arrived.

--- a/src/core.rs
+++ b/src/core.rs
@@ -146,6 +146,8 @@
 struct Attempt {
     node: NodeId,
     sent: Instant,
+    /// When the planner wants to give it up, and when it is given up: at the request's deadline, if that is earlier.
+    planned_end: Instant,
     give_up_at: Instant,
     running: bool,
 }
@@ -376,16 +378,17 @@
         }
     }
 
-    /// The last byte of a streamed body was received. The client's time counts from now on and ends at `deadline`.
-    pub fn body_complete(&mut self, id: RequestId, deadline: Duration) {
+    /// Changes the deadline of a request whose body is streamed: the client's time counts from its last byte. The planner
+    /// keeps the deadline that it was given, which has to be the latest.
+    pub fn set_deadline(&mut self, id: RequestId, deadline: Duration) {
         let Some(open) = self.requests.get_mut(&id).filter(|open| !open.answered) else { return };
         self.overdue_answers.remove(&(open.deadline + ANSWER_GRACE, id));
-        open.deadline = open.deadline.min(self.clock.instant(deadline));
+        open.deadline = self.clock.instant(deadline);
         self.overdue_answers.insert((open.deadline + ANSWER_GRACE, id));
         for (number, state) in open.attempts.iter_mut().enumerate().filter(|(_, state)| state.running) {
             let attempt = AttemptId { request: id, number: number as u32 };
             self.attempt_timeouts.remove(&(state.give_up_at, attempt));
-            state.give_up_at = state.give_up_at.min(open.deadline);
+            state.give_up_at = state.planned_end.min(open.deadline);
             self.attempt_timeouts.insert((state.give_up_at, attempt));
         }
     }
@@ -535,10 +538,12 @@
                 AttemptEnd { id, attempt, node, outcome, finished, latency, volume_usage, served_elsewhere };
             return self.events.push(Event::AttemptEnded(end));
         };
-        let give_up_at = self.clock.instant(give_up_at).min(open.deadline);
-        let begin_by = self.clock.instant(begin_by).min(give_up_at);
+        let planned_end = self.clock.instant(give_up_at);
+        let give_up_at = planned_end.min(open.deadline);
+        // The deadline of an unfinished body moves as its client goes on.
+        let begin_by = self.clock.instant(begin_by).min(planned_end);
         let attempt = AttemptId { request: id, number: open.attempts.len() as u32 };
-        open.attempts.push(Attempt { node, sent: now, give_up_at, running: true });
+        open.attempts.push(Attempt { node, sent: now, planned_end, give_up_at, running: true });
         self.counters.attempts += 1;
         tracing::trace!(id = id.0, node = node.0, number = attempt.number, "attempt begins");
         self.attempt_timeouts.insert((give_up_at, attempt));
@@ -673,9 +678,11 @@
     fn stop_attempts(&mut self, id: RequestId) -> bool {
         let Some(open) = self.requests.get(&id) else { return false };
         let mut ran = open.may_have_run;
+        // A node can't execute a command of which the client has not sent the end.
+        let whole = open.content.body_stream.as_ref().is_none_or(BodyStream::is_terminated);
         for (number, _) in open.attempts.iter().enumerate().filter(|(_, it)| it.running) {
             // An attempt in flight may have been executed.
-            ran = true;
+            ran |= whole;
             let attempt = AttemptId { request: id, number: number as u32 };
             self.effects.push(Effect::Stop { attempt, outcome: Outcome::Cancelled });
         }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -373,8 +373,18 @@
             client.arrivals.record_read(client.conn.input.len() - before, now, end == ReadEnd::Blocked);
             let (mut offset, mut closing) = (0, false);
             let (clock, arrivals) = (self.clock, &client.arrivals);
-            let mut intake =
-                Intake { core: &mut *core, conn: id, now: unix, arrivals, clock, offset, decline, ready };
+            let drained = end == ReadEnd::Blocked;
+            let mut intake = Intake {
+                core: &mut *core,
+                conn: id,
+                now: unix,
+                arrivals,
+                clock,
+                offset,
+                decline,
+                drained,
+                ready,
+            };
             while !closing && left > 0 && client.conn.unwritten() <= MAX_UNSENT_BYTES {
                 let mut output = Vec::new();
                 let input = &client.conn.input[offset..];
--- a/src/front/protocol.rs
+++ b/src/front/protocol.rs
@@ -144,13 +144,15 @@
     /// Set if all requests are declined at the moment: request bodies are at their memory limit, the connection
     /// is over the client limit, or another machine holds the address that the client connected to.
     pub(super) decline: Option<Declined>,
+    /// Whether nothing that had arrived is left with the kernel.
+    pub drained: bool,
     /// Whether the process is in service, as reported to health checks.
     pub ready: bool,
 }
 
 impl Intake<'_> {
     /// When the last byte of a command of `length` bytes arrived.
-    fn arrival_of_command(&self, length: usize) -> Duration {
+    pub fn arrival_of_command(&self, length: usize) -> Duration {
         self.arrivals
             .arrival_of(self.offset + length)
             .map_or(self.now, |arrival| self.clock.unix(arrival))
@@ -186,10 +188,28 @@
         self.core.accept(origin, new, content).ok_or(Declined::IdInUse)
     }
 
-    /// The last byte of a request's body has arrived, at the end of `length` bytes of input; the client waits
-    /// for `timeout` from then on.
-    pub fn body_arrived(&mut self, request: RequestId, length: usize, timeout: Duration) {
-        self.core
-            .body_complete(request, self.arrival_of_command(length) + timeout.saturating_sub(ANSWER_MARGIN));
+    /// Submits a request whose body is still arriving, in at most `longest` more. Its client waits for `timeout` from its
+    /// last byte on, which may have arrived unread at `last_byte`: [`Intake::last_byte_at`] changes that.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Intake::submit`].
+    pub fn submit_unfinished(
+        &mut self,
+        command: (u64, usize),
+        new: NewRequest,
+        (timeout, longest): (Duration, Duration),
+        last_byte: Duration,
+        content: Content,
+    ) -> Result<RequestId, Declined> {
+        let request = self.submit(command, new, timeout + longest, content)?;
+        self.last_byte_at(request, last_byte, timeout);
+        Ok(request)
+    }
+
+    /// The last byte of a request's body arrived at this time, or not before it; the client waits for `timeout` from then
+    /// on.
+    pub fn last_byte_at(&mut self, request: RequestId, arrival: Duration, timeout: Duration) {
+        self.core.set_deadline(request, arrival + timeout.saturating_sub(ANSWER_MARGIN));
     }
 }
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -58,6 +58,11 @@
     sequence: u64,
     /// When the head of the command was received.
     head_received_at: Duration,
+    /// When the kernel last had nothing more of the body: its last byte arrived later. What this side leaves there may
+    /// have been whole ever since.
+    drained_at: Duration,
+    /// Whether something was left there since, for want of memory.
+    left_unread: bool,
     body_stream: BodyStream,
     timeout: Duration,
     /// The request, until it is submitted.
@@ -280,8 +285,15 @@
         }
         session.next_sequence += 1;
         session.pending.push_back(pending);
-        session.receiving =
-            Some(Receiving { sequence, head_received_at: intake.now, body_stream, timeout, unsubmitted });
+        session.receiving = Some(Receiving {
+            sequence,
+            head_received_at: intake.now,
+            drained_at: intake.now,
+            left_unread: false,
+            body_stream,
+            timeout,
+            unsubmitted,
+        });
         session.write_ready_answers(output);
     }
 
@@ -325,9 +337,15 @@
                     content.body = body_stream.copy(0, body_stream.length());
                     content.body_stream = None;
                 }
-                // The client's deadline counts from the last byte of the body, which may arrive much later.
-                let timeout = receiving.timeout + if done { Duration::ZERO } else { BODY_TIMEOUT };
-                match intake.submit((receiving.sequence, count), new, timeout, content) {
+                let (command, timeout) = ((receiving.sequence, count), receiving.timeout);
+                let submitted = match done {
+                    true => intake.submit(command, new, timeout, content),
+                    false => {
+                        let timeouts = (timeout, BODY_TIMEOUT);
+                        intake.submit_unfinished(command, new, timeouts, receiving.drained_at, content)
+                    }
+                };
+                match submitted {
                     Ok(request) => {
                         let pending = session.pending.iter_mut().find(|it| it.sequence == receiving.sequence);
                         pending.into_iter().for_each(|pending| pending.request = Some(request));
@@ -337,17 +355,22 @@
                         session.set_answer(receiving.sequence, Some(self.decline_answer(reason)), output);
                     }
                 }
-            } else if done {
-                let request = session.pending.iter().find(|it| it.sequence == receiving.sequence);
-                if let Some(request) = request.and_then(|pending| pending.request) {
-                    intake.body_arrived(request, count, receiving.timeout);
-                }
             }
         }
-        let pending = session.pending.iter().find(|it| it.sequence == receiving.sequence);
-        if let Some(request) = pending.and_then(|pending| pending.request) {
-            intake.core.body_available(request);
+        let drained = intake.drained && count == input.len();
+        let request = session.pending.iter().find(|it| it.sequence == receiving.sequence);
+        let request = request.and_then(|pending| pending.request);
+        if drained && !done {
+            // It is the client that has to go on.
+            (receiving.drained_at, receiving.left_unread) = (intake.now, false);
+            request.into_iter().for_each(|id| intake.last_byte_at(id, intake.now, receiving.timeout));
+        } else if done && !receiving.left_unread {
+            let arrival = intake.arrival_of_command(count);
+            request.into_iter().for_each(|id| intake.last_byte_at(id, arrival, receiving.timeout));
+        } else if body_stream.capacity() == 0 {
+            receiving.left_unread = true;
         }
+        request.into_iter().for_each(|id| intake.core.body_available(id));
         if !done {
             session.receiving = Some(receiving);
         }
--- a/tests/net/long_values.rs
+++ b/tests/net/long_values.rs
@@ -391,6 +391,41 @@
     assert_eq!(client.receive(), Value::Simple(b"PONG".to_vec()));
 }
 
+/// Guards against an answer that comes seconds after its time: what memory had no room for counted as not yet sent, and its
+/// client's time began when it was read.
+#[test]
+fn a_long_body_that_its_node_does_not_read_is_answered_in_time() {
+    const DEADLINE: Duration = Duration::from_millis(1500);
+    let slow = serve(|_stream| thread::sleep(4 * DEADLINE));
+    let discovery = Discovery::start(&[("s-1", slow, 1)]);
+    let setup = Setup { memory_mb: 8, deadline_ms: DEADLINE.as_millis() as u64, ..Setup::default() };
+    let program = Program::start(&discovery, setup);
+    let (mut client, start) = (Client::connect(program.resp), Instant::now());
+    client.request(1, 1, "", Some(&pattern(LONGEST)));
+    let answer = client.try_receive();
+    // Refused, or failed if the system took all of the command for the node.
+    assert!(matches!(&answer, Some(Value::Error(_))), "{answer:?}");
+    // An answer may be late by half a second.
+    assert!(start.elapsed() < DEADLINE + Duration::from_millis(500), "{:?}", start.elapsed());
+}
+
+/// The client's own time for sending is not a part of its deadline.
+#[test]
+fn a_long_body_that_its_client_writes_slowly_is_served_after_its_deadline() {
+    const PIECES: usize = 10;
+    let node = Node::start(|_, words| Reply::Value(words[4].len().to_string().into_bytes()));
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, Setup { memory_mb: 8, deadline_ms: 1500, ..Setup::default() });
+    let mut client = Client::connect(program.resp);
+    client.write(&put_head(LONGEST));
+    for piece in pattern(LONGEST).chunks(LONGEST / PIECES) {
+        client.write(piece);
+        thread::sleep(Duration::from_millis(300));
+    }
+    client.write(b"\r\n");
+    assert_eq!(client.receive(), bulk(LONGEST.to_string().as_bytes()));
+}
+
 /// Known failure: requests behind a value that memory has no room for are lost with it if it breaks off (issue 42).
 #[test]
 fn requests_behind_a_long_value_without_memory_survive_its_break() {
