A long answer in progress survives a client that stops within its next command

A client that stops within a long body is closed then, without an error; it is owed either within 3 s.

Cause: a stalled command ends its connection, and a second later all that is left was dropped, also an answer that was still coming. A body that is not whole kept the session from being done.

Change: the second counts from the last output that the client took, once the session has nothing more to come. An unfinished command is answered with an error when it is given up, and its memory returned.

--- a/src/front/iscsi.rs
+++ b/src/front/iscsi.rs
@@ -201,6 +201,10 @@
         }
     }
 
+    fn abandon_unfinished(&self, session: &mut Session, _: &mut Vec<u8>) {
+        session.tasks.retain(|_, task| task.request.is_some());
+    }
+
     fn open_requests(&self, session: &Session) -> Vec<RequestId> {
         session.tasks.values().filter_map(|task| task.request).collect()
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -276,6 +276,9 @@
         client.partial_since = None;
         client.conn.consume(client.conn.input.len());
         self.protocol.open_requests(&client.session).into_iter().for_each(|request| core.terminate(request));
+        let mut output = Vec::new();
+        self.protocol.abandon_unfinished(&mut client.session, &mut output);
+        client.conn.push(&output);
     }
 
     /// A client's connection is writable and has nothing to read. Ignored unless there is something to write or
--- a/src/front/protocol.rs
+++ b/src/front/protocol.rs
@@ -71,6 +71,9 @@
         MAX_INPUT_BYTES
     }
 
+    /// Drops commands whose rest is not received any more, and writes what is to be told of them.
+    fn abandon_unfinished(&self, session: &mut Self::Session, output: &mut Vec<u8>);
+
     /// Whether the head of a command was taken and its body is still being received.
     fn is_receiving_body(&self, _: &Self::Session) -> bool {
         false
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -223,6 +223,14 @@
         }
     }
 
+    fn abandon_unfinished(&self, session: &mut Session, output: &mut Vec<u8>) {
+        let Some(receiving) = session.receiving.take() else { return };
+        receiving.body_stream.discard();
+        if receiving.unsubmitted.is_some() {
+            session.set_answer(receiving.sequence, Some(error_line("the command is not whole")), output);
+        }
+    }
+
     fn is_receiving_body(&self, session: &Session) -> bool {
         session.receiving.is_some()
     }
--- a/src/front/sweep.rs
+++ b/src/front/sweep.rs
@@ -10,7 +10,7 @@
 /// A client is closed if it sends no command for this long, or if an incomplete command makes no progress for
 /// this long. The head of a command may take two seconds.
 pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_millis(2600);
-/// How long a connection that is to be closed waits for its client to read the remaining output.
+/// How long a connection that is to be closed waits for its client to go on reading the remaining output.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// An idle connection is closed after this; the platform permits it after two seconds. Otherwise clients would
 /// hold connections that they used once until none is left for others.
@@ -52,7 +52,10 @@
             // A client that was redirected may have another command on its way, which is to be answered.
             let redirect_idle =
                 client.redirected_since.is_some() && now - client.last_active > MIN_SILENCE_BEFORE_EVICTION;
-            let close_expired = client.closing_since.is_some_and(|since| now - since > CLOSE_TIMEOUT);
+            // Answers that are still coming from their nodes are passed on before the close.
+            let close_expired = client.closing_since.is_some_and(|since| now - since > CLOSE_TIMEOUT)
+                && protocol.is_idle(session)
+                && now - client.last_write_progress > CLOSE_TIMEOUT;
             if silent || stalled_write || close_expired {
                 core.counters.clients_silent += 1;
                 if all_written && idle { &mut to_close } else { &mut to_drop }.push(*id);
--- a/tests/net/long_values.rs
+++ b/tests/net/long_values.rs
@@ -391,6 +391,35 @@
     assert_eq!(client.receive(), Value::Simple(b"PONG".to_vec()));
 }
 
+/// Guards against a long answer that is cut off while its node still writes it: a client that stops within its next command
+/// was closed a second after that was noticed, whatever was on its way to it.
+#[test]
+fn a_long_answer_in_progress_survives_a_client_that_stops_within_its_next_command() {
+    let node = Node::start(|_, _| Reply::Slow(long_value(), Duration::from_millis(1500)));
+    let discovery = Discovery::start(&[("s-1", node.address, 1)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    client.request(1, 1, "", None);
+    program.wait_for_info("answers_long:1");
+    client.write(b"*4\r\n$7\r\nOBJ.GET\r\n$16\r\n0000");
+    assert!(client.try_receive() == Some(bulk(&long_value())), "the value is whole");
+}
+
+/// Guards against a bad client that is not told in time: one that stopped within a body was closed a second after that was
+/// noticed, and got no answer.
+#[test]
+fn a_client_that_stops_within_a_body_is_told_at_once_when_its_time_is_over() {
+    let node = Node::echo();
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let program = Program::start(&discovery, Setup::default());
+    let (mut client, start) = (Client::connect(program.resp), Instant::now());
+    client.write(&put_head(LONGEST));
+    client.write(&pattern(300_000));
+    assert!(matches!(client.try_receive(), Some(Value::Error(_))), "an error");
+    assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+    program.wait_for_info("long_value_bytes:0");
+}
+
 /// Guards against an answer that comes seconds after its time: what memory had no room for counted as not yet sent, and its
 /// client's time began when it was read.
 #[test]
