A client that leaves many unread commands behind is seen to have gone

Cause: the end of a connection comes behind the commands before it. With as many open as it may, 80 KiB of a client were read, and the rest and the end stayed with its machine.

Change: in that state up to 1 MiB is read ahead, at the most half of the memory that is left for unfinished input.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -43,6 +43,8 @@
 const MAX_UNSENT_BYTES: usize = 64 * 1024;
 /// Unparsed input of a connection: the largest command that is read whole, and some reserve.
 const MAX_INPUT_BYTES: usize = 80 * 1024;
+/// Commands that are read from a client while it has as many open as it may.
+const READ_AHEAD_BYTES: usize = 1024 * 1024;
 /// Input that every connection may have buffered, however little memory there is: the head of any usual command.
 const MIN_INPUT_BYTES: usize = 2 * 1024;
 /// Commands taken from one connection in one iteration of the loop.
@@ -253,9 +255,13 @@
 
     /// How many bytes of input a client may have buffered, and whether it is memory that limits that.
     fn input_limit(protocol: &P, budget: &Budget, client: &Client<P::Session>) -> (usize, bool) {
+        let (held, available) = (client.input_memory.bytes(), budget.available(Purpose::Input));
+        if protocol.is_blocked(&client.session) && !protocol.is_receiving_body(&client.session) {
+            // The end of a connection is seen behind the commands that precede it. It leaves memory to others.
+            return (READ_AHEAD_BYTES.min(held + available / 2).max(MIN_INPUT_BYTES), false);
+        }
         let usable = protocol.max_input(&client.session);
-        let affordable = client.input_memory.bytes() + budget.available(Purpose::Input);
-        let affordable = affordable.max(MIN_INPUT_BYTES);
+        let affordable = (held + available).max(MIN_INPUT_BYTES);
         (usable.min(affordable), affordable < usable)
     }
 
--- a/tests/net/resp.rs
+++ b/tests/net/resp.rs
@@ -14,6 +14,34 @@
     }
 }
 
+/// Guards against requests that are sent for a client that has gone: the end of its connection was not seen behind commands
+/// that were not read while it had as many open as it may.
+#[test]
+fn a_client_that_leaves_many_unread_commands_behind_is_seen_to_have_gone() {
+    const COMMANDS: u64 = 4000;
+    let gate = Gate::default();
+    let closed = gate.clone();
+    let node = Node::start(move |_, _| {
+        closed.wait_until_open();
+        Reply::Value(b"v".to_vec())
+    });
+    let discovery = Discovery::start(&[("s-1", node.address, 1)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    (0..COMMANDS).for_each(|object| client.request(object, 1, "", None));
+    eventually("the node is busy", || {
+        (program.info_number("requests_open") > node.count() as u64).then_some(())
+    });
+    drop(client);
+    // Nothing may be sent later than this after a client has closed.
+    thread::sleep(Duration::from_millis(250));
+    assert_eq!(program.info_number("requests_open"), program.info_number("attempts_out"), "none is queued");
+    let sent = node.count();
+    gate.open();
+    program.wait_for_info("requests_open:0");
+    assert_eq!(node.count(), sent, "nothing is sent for a client that has gone");
+}
+
 #[test]
 fn values_pass_unchanged_and_answers_keep_the_order_of_commands() {
     let node = Node::start(|_, words| {
