--- a/lab/src/hollow/initiator.rs
+++ b/lab/src/hollow/initiator.rs
@@ -12,6 +12,7 @@
 use topazpath::discovery::{Discovery, PollingPolicy};
 use topazpath::fleet::speaker::Driver;
 use topazpath::interface::{Event, NewRequest, RequestId, VolumeId};
+use topazpath::memory::Budget;
 use topazpath::nodes::Nodes;
 use topazpath::planner::client::Planners;
 use topazpath::planner::Planner;
@@ -84,7 +85,7 @@
         let fleet_config = config.fleet.as_ref().ok_or("the configuration has no fleet section")?;
         let time_and_seed = (clock.unix(now), config.seed);
         let fleet = Driver::start(fleet_config, time_and_seed, None, fleet_token, registry, now)?;
-        let mut core = Core::new(clock, config.settings.limits.max_retry_after);
+        let mut core = Core::new(clock, config.settings.limits.max_retry_after, Budget::unlimited());
         core.set_classes(&config.settings.classes);
         Ok(Hollow {
             who,
--- a/lab/src/settings/world.rs
+++ b/lab/src/settings/world.rs
@@ -14,6 +14,7 @@
     Answer, AttemptId, AttemptResult, Content, Core, Effect as CoreEffect, Operation, Origin,
 };
 use topazpath::interface::*;
+use topazpath::memory::Budget;
 use topazpath::Scheduler;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
@@ -223,7 +224,7 @@
     fn start_initiator(&mut self, at: usize) {
         let generation = self.history.generation_starts.len();
         self.history.generation_starts.push(self.now);
-        let mut core = Core::new(self.clock, self.settings.limits.max_retry_after);
+        let mut core = Core::new(self.clock, self.settings.limits.max_retry_after, Budget::unlimited());
         core.set_classes(&self.settings.classes);
         let initiator = Initiator {
             core,
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -1,5 +1,4 @@
 use super::*;
-use crate::memory::Limits;
 
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -12,7 +11,7 @@
 impl Fixture {
     fn new() -> Self {
         let clock = Clock::start();
-        Fixture { core: Core::new(clock, RETRY_AFTER, Budget::new(Limits::NONE)), clock, now: Instant::now() }
+        Fixture { core: Core::new(clock, RETRY_AFTER, Budget::unlimited()), clock, now: Instant::now() }
     }
 
     /// Accepts a request with a deadline in one second.
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -1,17 +1,11 @@
 use super::*;
 use crate::config::Wire;
-use crate::memory::Limits;
 use mio::Poll;
 use room::MIN_SILENCE_BEFORE_EVICTION;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 
 /// A front on a port chosen by the system.
-/// A budget without limits.
-fn no_limits() -> Budget {
-    Budget::new(Limits::NONE)
-}
-
 fn front(poll: &Poll, clock: Clock, limits: ClientLimits) -> Front<resp::Resp> {
     let second = Duration::from_secs(1);
     let wire = Wire {
@@ -24,10 +18,18 @@
         peers: false,
     };
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let budget = no_limits();
+    let budget = Budget::unlimited();
     let resp = resp::Resp { wire, retry_after: second, max_pending: 64, budget };
-    Front::new(resp, Listener::open(any).unwrap(), Token(0), poll.registry(), clock, limits, no_limits())
-        .unwrap()
+    Front::new(
+        resp,
+        Listener::open(any).unwrap(),
+        Token(0),
+        poll.registry(),
+        clock,
+        limits,
+        Budget::unlimited(),
+    )
+    .unwrap()
 }
 
 #[test]
@@ -36,7 +38,7 @@
     let (clock, second, now) = (Clock::start(), Duration::from_secs(1), Instant::now());
     let limits = ClientLimits { evict_idle_above: 4, clients: 4, overflow: 0, lingering: 1 };
     let mut front = front(&poll, clock, limits);
-    let mut core = Core::new(clock, second, no_limits());
+    let mut core = Core::new(clock, second, Budget::unlimited());
     let mut client = std::net::TcpStream::connect(front.address().unwrap()).unwrap();
     let ping = b"*1\r\n$4\r\nPING\r\n";
     client.write_all(&ping.repeat(3 * MAX_COMMANDS_PER_ITERATION)).unwrap();
@@ -66,7 +68,7 @@
     let count = MAX_CLIENTS_PER_ITERATION + 6;
     let limits = ClientLimits { evict_idle_above: count, clients: count, overflow: 0, lingering: 1 };
     let mut front = front(&poll, clock, limits);
-    let (mut core, mut token) = (Core::new(clock, second, no_limits()), 0);
+    let (mut core, mut token) = (Core::new(clock, second, Budget::unlimited()), 0);
     let address = front.address().unwrap();
     let mut clients: Vec<_> = (0..count).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
     let mut next = || {
@@ -104,7 +106,7 @@
 ) -> (Front<resp::Resp>, Vec<std::net::TcpStream>, Core) {
     let clock = Clock::start();
     let mut front = front(poll, clock, limits);
-    let mut core = Core::new(clock, Duration::from_secs(1), no_limits());
+    let mut core = Core::new(clock, Duration::from_secs(1), Budget::unlimited());
     let silent = (0..limits.clients)
         .map(|_| std::net::TcpStream::connect(front.address().unwrap()).unwrap())
         .collect();
@@ -269,7 +271,7 @@
     let limits = ClientLimits { evict_idle_above: 4, clients: 4, overflow: 1, lingering: 1 };
     let clock = Clock::start();
     let mut front = front(&poll, clock, limits);
-    let mut core = Core::new(clock, Duration::from_secs(1), no_limits());
+    let mut core = Core::new(clock, Duration::from_secs(1), Budget::unlimited());
     let address = front.address().unwrap();
     let connect_with_partial_command = || {
         let mut client = std::net::TcpStream::connect(address).unwrap();
@@ -349,7 +351,7 @@
     core.drain_effects();
     let attempt = AttemptId { request: long, number: 0 };
     let origin = core.begin_stream(attempt).unwrap();
-    let memory = StreamMemory::Window(no_limits().hold(Purpose::Window, 0));
+    let memory = StreamMemory::Window(Budget::unlimited().hold(Purpose::Window, 0));
     front.begin_answer(now, origin, 100_000, memory, &mut core);
     front.write_piece(now, origin, b"a part of the value", &mut core);
     // Both attempts end before any effect is applied.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,7 +66,7 @@
 pub mod interface;
 pub mod iscsi;
 mod listener;
-mod memory;
+pub mod memory;
 pub mod nodes;
 mod pace;
 mod placement;
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -22,9 +22,13 @@
 /// Most bytes that may be granted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
+    /// For [`Purpose::LongValue`].
     pub long_values: usize,
+    /// For [`Purpose::Window`].
     pub windows: usize,
+    /// For [`Purpose::Input`].
     pub input: usize,
+    /// For [`Purpose::Request`].
     pub requests: usize,
     /// For all purposes together.
     pub total: usize,
@@ -32,7 +36,6 @@
 
 impl Limits {
     /// No limits.
-    #[cfg(test)]
     pub const NONE: Limits = Limits {
         long_values: usize::MAX,
         windows: usize::MAX,
@@ -75,6 +78,11 @@
         Budget(Rc::new(RefCell::new(Ledger { limits, used: [0; PURPOSES] })))
     }
 
+    /// A budget without limits, for simulations and tests.
+    pub fn unlimited() -> Self {
+        Budget::new(Limits::NONE)
+    }
+
     /// Changes the limits; earlier grants stay valid.
     pub fn set_limits(&self, limits: Limits) {
         self.0.borrow_mut().limits = limits;
--- a/src/target/tests.rs
+++ b/src/target/tests.rs
@@ -1,7 +1,6 @@
 use super::*;
 use crate::core::Operation;
 use crate::interface::RequestId;
-use crate::memory::Limits;
 use mio::{Events, Poll};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -19,7 +18,7 @@
 impl Harness {
     fn new(now: Instant) -> Harness {
         let node = TcpListener::bind("127.0.0.1:0").unwrap();
-        let targets = Targets::new(TIMEOUT, TIMEOUT, 8, Budget::new(Limits::NONE), now);
+        let targets = Targets::new(TIMEOUT, TIMEOUT, 8, Budget::unlimited(), now);
         Harness { poll: Poll::new().unwrap(), targets, node, started: 0 }
     }
 
