--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -653,6 +653,15 @@
         Node { address, received }
     }
 
+    /// A node that answers once the gate is open.
+    pub fn behind(gate: &Gate) -> Node {
+        let gate = gate.clone();
+        Node::start(move |_, _| {
+            gate.wait_until_open();
+            Reply::Value(b"v".to_vec())
+        })
+    }
+
     /// A node that answers each read with the name of its object and each write with its body.
     pub fn echo() -> Node {
         Node::start(|_, words| Reply::Value(words[if words.len() == 4 { 1 } else { 4 }].clone()))
--- a/tests/net/long_values.rs
+++ b/tests/net/long_values.rs
@@ -19,15 +19,6 @@
     vec![b'.'; LONG]
 }
 
-/// A node that answers once the gate is open.
-fn node_behind(gate: &Gate) -> Node {
-    let gate = gate.clone();
-    Node::start(move |_, _| {
-        gate.wait_until_open();
-        Reply::Value(b"v".to_vec())
-    })
-}
-
 /// A node that breaks off the first `count` of its long values.
 fn node_that_breaks_off(count: usize) -> Node {
     Node::start(move |number, _| match number <= count {
@@ -181,7 +172,7 @@
 #[test]
 fn a_long_value_that_breaks_off_behind_another_answer_ends_no_request_of_its_connection() {
     let gate = Gate::default();
-    let (slow, breaking) = (node_behind(&gate), node_that_breaks_off(1));
+    let (slow, breaking) = (Node::behind(&gate), node_that_breaks_off(1));
     let discovery = Discovery::start(&[("s-1", slow.address, 1), ("s-2", breaking.address, 2)]);
     let program = Program::start(&discovery, Setup::default());
     let mut client = Client::connect(program.resp);
@@ -205,7 +196,7 @@
 #[test]
 fn a_long_value_that_always_breaks_off_is_refused_in_its_place() {
     let gate = Gate::default();
-    let (slow, breaking) = (node_behind(&gate), node_that_breaks_off(usize::MAX));
+    let (slow, breaking) = (Node::behind(&gate), node_that_breaks_off(usize::MAX));
     let discovery = Discovery::start(&[("s-1", slow.address, 1), ("s-2", breaking.address, 2)]);
     let program = Program::start(&discovery, Setup { deadline_ms: 1500, ..Setup::default() });
     let mut client = Client::connect(program.resp);
@@ -338,7 +329,7 @@
 #[test]
 fn the_memory_of_a_whole_value_stays_granted_while_it_waits_behind_another_answer() {
     let gate = Gate::default();
-    let (slow, long) = (node_behind(&gate), node_that_breaks_off(0));
+    let (slow, long) = (Node::behind(&gate), node_that_breaks_off(0));
     let discovery = Discovery::start(&[("s-1", slow.address, 1), ("s-2", long.address, 2)]);
     let program = Program::start(&discovery, Setup::default());
     let mut client = Client::connect(program.resp);
--- a/tests/net/memory.rs
+++ b/tests/net/memory.rs
@@ -83,11 +83,7 @@
 fn requests_with_very_many_fields_stay_within_the_memory_limit() {
     const PIPELINED: usize = 8;
     let (gate, fast) = (Gate::default(), Node::echo());
-    let closed = gate.clone();
-    let slow = Node::start(move |_, _| {
-        closed.wait_until_open();
-        Reply::Value(b"v".to_vec())
-    });
+    let slow = Node::behind(&gate);
     let discovery = Discovery::start(&[("s-1", slow.address, 1), ("s-2", fast.address, 2)]);
     let program = start(&discovery);
     assert_within_limit(&program, |client| {
--- a/tests/net/resp.rs
+++ b/tests/net/resp.rs
@@ -14,17 +14,45 @@
     }
 }
 
+/// A client sends many commands to a busy node and leaves: those that wait are withdrawn, and none is sent any more.
+fn assert_nothing_is_sent_for_a_client_that_has_gone(commands: u64) {
+    let gate = Gate::default();
+    let node = Node::behind(&gate);
+    let discovery = Discovery::start(&[("s-1", node.address, 1)]);
+    let program = Program::start(&discovery, Setup::default());
+    let mut client = Client::connect(program.resp);
+    (0..commands).for_each(|object| client.request(object, 1, "", None));
+    eventually("the node is busy", || {
+        (program.info_number("requests_open") > node.count() as u64).then_some(())
+    });
+    drop(client);
+    // Nothing may be sent later than this after a client has closed.
+    thread::sleep(Duration::from_millis(250));
+    assert_eq!(program.info_number("requests_open"), program.info_number("attempts_out"), "none is queued");
+    let sent = node.count();
+    gate.open();
+    program.wait_for_info("requests_open:0");
+    assert_eq!(node.count(), sent, "nothing is sent for a client that has gone");
+}
+
 /// Guards against requests that are sent for a client that has gone: the end of its connection was not seen behind commands
 /// that were not read while it had as many open as it may.
+#[test]
+fn a_client_that_leaves_many_unread_commands_behind_is_seen_to_have_gone() {
+    assert_nothing_is_sent_for_a_client_that_has_gone(4_000);
+}
+
+/// Known failure: the end is not seen behind more than is read ahead and the system takes besides (issue 42).
+#[test]
+fn a_client_that_leaves_more_behind_than_is_read_ahead_is_seen_to_have_gone() {
+    assert_nothing_is_sent_for_a_client_that_has_gone(30_000);
+}
+
 /// Known failure: an id that may not run twice runs again when its client has left and sends it once more (issue 42).
 #[test]
 fn an_id_that_may_not_run_twice_does_not_run_again_after_its_client_has_left() {
     let gate = Gate::default();
-    let closed = gate.clone();
-    let node = Node::start(move |_, _| {
-        closed.wait_until_open();
-        Reply::Value(b"v".to_vec())
-    });
+    let node = Node::behind(&gate);
     let discovery = Discovery::start(&[("s-1", node.address, 1)]);
     let once = (
         "\"effect\":\"idempotency_key\",\n   \"key_scope\":\"cell\",\"window_ms\":5000",
@@ -45,32 +73,6 @@
     assert_eq!(node.count(), 1, "it does not run again");
 }
 
-#[test]
-fn a_client_that_leaves_many_unread_commands_behind_is_seen_to_have_gone() {
-    const COMMANDS: u64 = 4000;
-    let gate = Gate::default();
-    let closed = gate.clone();
-    let node = Node::start(move |_, _| {
-        closed.wait_until_open();
-        Reply::Value(b"v".to_vec())
-    });
-    let discovery = Discovery::start(&[("s-1", node.address, 1)]);
-    let program = Program::start(&discovery, Setup::default());
-    let mut client = Client::connect(program.resp);
-    (0..COMMANDS).for_each(|object| client.request(object, 1, "", None));
-    eventually("the node is busy", || {
-        (program.info_number("requests_open") > node.count() as u64).then_some(())
-    });
-    drop(client);
-    // Nothing may be sent later than this after a client has closed.
-    thread::sleep(Duration::from_millis(250));
-    assert_eq!(program.info_number("requests_open"), program.info_number("attempts_out"), "none is queued");
-    let sent = node.count();
-    gate.open();
-    program.wait_for_info("requests_open:0");
-    assert_eq!(node.count(), sent, "nothing is sent for a client that has gone");
-}
-
 #[test]
 fn values_pass_unchanged_and_answers_keep_the_order_of_commands() {
     let node = Node::start(|_, words| {
