Commands accepted before a drain are read to their end, and new ones are declined

Cause: while load is shed the front stopped reading every client with something open. The parts of accepted work stand behind and between new commands on a connection, so an accepted write waited for PDUs that nobody read; commands in the input buffer of a paused connection were closed over by the periodic check.

Change: what happens to commands that begin now (accept, decline, leave to a successor) is one decision for each turn, apart from reading. What was begun or had arrived before is completed; new commands are read and declined, iSCSI writes before any R2T. A connection is closed when nothing is owed and a last read finds nothing; a client that is declined for 2.6 s and goes on sending is read no further.

operators::a_resume_while_connections_are_being_closed_... required that a command on a busy connection stays unread until the resume, which is the fault itself. It now requires a decline in order, and service after the resume on the same connection: as many checks, and one more.

--- a/src/front/answers.rs
+++ b/src/front/answers.rs
@@ -2,7 +2,6 @@
 
 use super::client::{Client, StreamMemory, StreamedAnswer};
 use super::protocol::Protocol;
-use super::sweep::SILENCE_TIMEOUT;
 use super::Front;
 use crate::core::{Answer, Core, Origin};
 use crate::flow::WINDOW;
@@ -132,10 +131,7 @@
 
     /// Continues with a client that was paused.
     pub fn resume(&mut self, now: Instant, id: usize, core: &mut Core) {
-        // While shedding, only the command that has already begun is read on.
-        let shedding = self.client_policy.shed_from.is_some_and(|from| from <= now);
-        let Some(client) = self.clients.get(&id) else { return };
-        if client.paused && (!shedding || self.protocol.is_receiving_body(&client.session)) {
+        if self.clients.get(&id).is_some_and(|client| client.paused) {
             self.process_input(now, id, core);
             self.flush(now, id, core);
         }
@@ -165,20 +161,16 @@
         client.answer_memory.resize(answer_bytes.saturating_sub(granted));
         client.input_memory.resize(client.conn.input.capacity());
         self.buffered_bytes = self.buffered_bytes + client.buffered_bytes() - previously_buffered;
-        // While shedding, clients are closed as soon as they are idle. A redirected client that keeps sending
-        // commands is closed after a timeout.
-        let shedding =
-            !self.client_policy.hand_over && self.client_policy.shed_from.is_some_and(|from| from <= now);
-        let closes_when_idle =
-            shedding && client.conn.input.is_empty() && self.protocol.has_sent_command(&client.session);
-        let redirect_expired = client.redirected_since.is_some_and(|since| now - since > SILENCE_TIMEOUT);
-        if (client.closing_since.is_some() || redirect_expired || closes_when_idle)
-            && unwritten == 0
-            && self.protocol.is_idle(&client.session)
-        {
+        let answered = unwritten == 0 && !self.protocol.has_unanswered(&client.session);
+        if answered && client.closing_since.is_some() {
             self.close_gracefully(now, id);
             return;
         }
+        let idle = client.conn.input.is_empty() && self.protocol.is_idle(&client.session);
+        let has_sent = self.protocol.has_sent_command(&client.session);
         self.update_idle_position(id);
+        if answered && idle && has_sent && self.is_shedding(now) {
+            self.close_unless_readable(now, id);
+        }
     }
 }
--- a/src/front/client.rs
+++ b/src/front/client.rs
@@ -74,8 +74,8 @@
     pub is_overflow: bool,
     /// Index of the endpoint that accepted it.
     pub endpoint: usize,
-    /// Since when its requests are declined because its endpoint is retired.
-    pub redirected_since: Option<Instant>,
+    /// Since when its new commands are declined because its endpoint is retired or load is shed.
+    pub declined_since: Option<Instant>,
     /// Arrival times of its input.
     pub arrivals: ArrivalTimes,
     /// Reading is suspended; more input may wait in the kernel.
@@ -114,7 +114,7 @@
             stream_blocked: false,
             is_overflow,
             endpoint,
-            redirected_since: None,
+            declined_since: None,
             arrivals: ArrivalTimes::default(),
             paused: false,
             waits_for_memory: false,
--- a/src/front/iscsi.rs
+++ b/src/front/iscsi.rs
@@ -27,6 +27,8 @@
 const DEFAULT_SEGMENT: usize = 8192;
 const FIRST_BURST: usize = 64 * 1024;
 const MAX_BURST: usize = 256 * 1024;
+/// Length of the part of a PDU whose arrival counts as that of the PDU.
+const FIRST_BYTE: usize = 1;
 /// Login stages.
 const OPERATIONAL: u8 = 1;
 const FULL_FEATURE: u8 = 3;
@@ -379,6 +381,10 @@
                     if session.tasks.len() >= MAX_TASKS {
                         return session.write_status(&task, scsi::TASK_SET_FULL, 0, Vec::new(), output);
                     }
+                    if let Some(reason) = intake.decline_new(FIRST_BYTE) {
+                        // Before any of its data are requested.
+                        return self.write_declined(session, &task, reason, output);
+                    }
                     let purpose = if write { Purpose::Input } else { Purpose::Request };
                     let length = blocks as usize * unit.block_bytes as usize;
                     task.memory = self.budget.grant(purpose, length + TASK_BYTES);
@@ -431,7 +437,7 @@
         let timeout = self.class_timeouts[new.class];
         // An id that is in use belongs to the RESP front; the client's retry gets another one. The time counts
         // from the first byte of the last PDU: units are short, and no client states a deadline.
-        match intake.submit((sequence, 1), new, timeout, content) {
+        match intake.submit((sequence, FIRST_BYTE), new, timeout, content) {
             Ok(request) => {
                 task.request = Some(request);
                 if task.transfer.write {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -17,6 +17,7 @@
 mod reading;
 pub mod resp;
 mod room;
+mod shedding;
 mod sweep;
 
 use crate::clock::Clock;
@@ -29,11 +30,12 @@
 use endpoints::Endpoint;
 use idle::IdleOrder;
 use leaving::LingeringConns;
-use mio::net::TcpStream;
 use mio::{Registry, Token};
 use rustc_hash::FxHashMap;
+use shedding::NewCommands;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
+use sweep::TIMEOUT_CHECK_INTERVAL;
 
 pub use client::StreamMemory;
 pub use protocol::{CloseConnection, Declined, Intake, Protocol, UnfinishedAnswer};
@@ -53,8 +55,6 @@
 /// iteration; the limit keeps them from waiting behind all input that accumulated while the process was not
 /// scheduled.
 const MAX_CLIENTS_PER_ITERATION: usize = 64;
-/// Interval between checks of all clients for expired timeouts.
-const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Retry delay for a client whose address is moving to another machine, which answers there by about that time.
 pub const MOVED_RETRY_AFTER: Duration = Duration::from_millis(20);
 
@@ -67,6 +67,8 @@
     limits: ClientLimits,
     /// How the service state (ready, draining, shutting down) affects clients.
     client_policy: ClientPolicy,
+    /// Since when the front is shutting down.
+    ending_since: Option<Instant>,
     /// Whether new connections are accepted at the machine's own address.
     accepting: bool,
     /// Number of clients over the limit, which are connected only to be declined with a retry delay.
@@ -125,6 +127,7 @@
             clock,
             limits,
             client_policy,
+            ending_since: None,
             accepting,
             overflow_count: 0,
             idle_order: IdleOrder::default(),
@@ -167,58 +170,6 @@
         self.lingering.next_timer(now).map_or(next, |at| at.min(next))
     }
 
-    /// Applies a new client policy. After SIGTERM idle clients are kept: new connections go to another process,
-    /// and those that stay open are still used.
-    pub fn set_client_policy(&mut self, client_policy: ClientPolicy) {
-        self.client_policy = client_policy;
-        if client_policy.shed_from.is_none() {
-            // No longer shedding: resume the clients that were paused by it and are still connected.
-            let paused: Vec<usize> =
-                self.clients.iter().filter(|(_, client)| client.paused).map(|(id, _)| *id).collect();
-            paused.into_iter().for_each(|id| self.enqueue(id));
-        }
-    }
-
-    /// Hands idle clients over to another process, with their incomplete input. `give` is called with `None` to
-    /// ask whether that process takes another client.
-    pub fn hand_over_idle_clients(
-        &mut self,
-        registry: &Registry,
-        mut give: impl FnMut(Option<(TcpStream, Vec<u8>)>) -> bool,
-    ) {
-        let idle = |client: &Client<P::Session>| {
-            let done = client.conn.unwritten() == 0 && client.closing_since.is_none() && !client.is_overflow;
-            done && self.protocol.is_idle(&client.session)
-        };
-        let idle: Vec<usize> = self.clients.iter().filter(|(_, it)| idle(it)).map(|(id, _)| *id).collect();
-        for id in idle {
-            if !give(None) {
-                return;
-            }
-            let Some(client) = self.remove(id) else { continue };
-            if let Ok(parts) = client.conn.into_parts(registry) {
-                give(Some(parts));
-            }
-        }
-    }
-
-    /// Takes over a client from the previous process, with its incomplete input.
-    pub fn adopt_client(
-        &mut self,
-        now: Instant,
-        (stream, input): (TcpStream, Vec<u8>),
-        token: Token,
-        registry: &Registry,
-        core: &mut Core,
-    ) {
-        let is_overflow = self.served_count() >= self.limits.clients;
-        self.add_client(now, (stream, Some(now)), 0, is_overflow, token, registry);
-        if let Some(client) = self.clients.get_mut(&token.0) {
-            client.conn.input = input;
-            self.process(now, token.0, core);
-        }
-    }
-
     /// Runs one iteration: processes the backlog, accepts connections and closes clients whose timeouts
     /// expired.
     pub fn run_iteration(
@@ -349,25 +300,26 @@
     fn process_input(&mut self, now: Instant, id: usize, core: &mut Core) {
         self.promote_overflow_client(id);
         let full = self.budget.available(Purpose::Request) == 0;
-        let Some(client) = self.clients.get_mut(&id) else { return };
+        let Some(client) = self.clients.get(&id) else { return };
         let retired = self.endpoints[client.endpoint].retired;
         let decline = match (retired, full || client.is_overflow) {
             (true, _) => Some(Declined::AddressMoved),
             (false, full) => full.then_some(Declined::AtCapacity),
         };
-        let shedding = self.client_policy.shed_from.is_some_and(|from| from <= now);
         let ready = self.client_policy.ready;
+        let new_commands = self.new_commands(now, client);
+        let Some(client) = self.clients.get_mut(&id) else { return };
         let unix = self.clock.unix(now);
         // One client that sends more than all others together must not starve them.
         let mut left = MAX_COMMANDS_PER_ITERATION;
         while client.closing_since.is_none() {
             // Bounds the answers of a client that sends commands without reading.
             client.paused = client.conn.flush().is_ok() && client.conn.unwritten() > MAX_UNSENT_BYTES;
-            // Lets a drain finish although a client always has a request open: further commands go to another
-            // process.
-            let may_read =
-                self.protocol.is_receiving_body(&client.session) || self.protocol.is_idle(&client.session);
-            client.paused |= shedding && !may_read;
+            // Lets a hand-over finish although a client always has a request open.
+            let leaves = |protocol: &P, session: &P::Session| {
+                new_commands == NewCommands::Leave && !protocol.is_receiving_body(session)
+            };
+            client.paused |= leaves(&self.protocol, &client.session);
             if client.paused {
                 // The pause is ours: a command that stays incomplete is not the client's stall.
                 client.partial_since = None;
@@ -375,7 +327,8 @@
             }
             let before = client.conn.input.len();
             let (input_limit, short_of_memory) = Self::input_limit(&self.protocol, &self.budget, client);
-            let end = client.conn.read(input_limit);
+            let last_input = Self::is_read_no_more(&self.protocol, now, client);
+            let end = client.conn.read(if last_input { 0 } else { input_limit });
             if end.is_over() {
                 return self.drop_client(id, core);
             }
@@ -391,10 +344,15 @@
                 clock,
                 offset,
                 decline,
+                new_commands,
                 drained,
                 ready,
             };
-            while !closing && left > 0 && client.conn.unwritten() <= MAX_UNSENT_BYTES {
+            while !closing
+                && left > 0
+                && client.conn.unwritten() <= MAX_UNSENT_BYTES
+                && !leaves(&self.protocol, &client.session)
+            {
                 let mut output = Vec::new();
                 let input = &client.conn.input[offset..];
                 intake.offset = offset;
@@ -420,11 +378,17 @@
                 // The client was told to retry later: free its descriptor for the next one.
                 client.closing_since = Some(now);
             }
-            client.redirected_since =
-                client.redirected_since.or((offset > 0).then_some(now)).filter(|_| retired);
+            let declining = retired || matches!(new_commands, NewCommands::DeclineFrom(_));
+            client.declined_since =
+                client.declined_since.or((offset > 0).then_some(now)).filter(|_| declining);
             if left == 0 {
                 return self.enqueue(id);
             }
+            if offset == 0 && last_input {
+                // What was read is answered; the rest is not a whole command.
+                client.closing_since = Some(now);
+                return;
+            }
             if offset == 0 {
                 // The session is at its limit; it resumes when an answer frees capacity.
                 client.paused = end == ReadEnd::Paused || !client.conn.input.is_empty();
@@ -455,23 +419,6 @@
             self.protocol.open_requests(&client.session).into_iter().for_each(|id| core.client_gone(id));
         }
     }
-
-    /// Stops listening and closes clients as they become idle; true once no connection is left.
-    pub fn shut_down(&mut self, now: Instant, core: &mut Core) -> bool {
-        self.endpoints.iter_mut().for_each(|endpoint| endpoint.listener = None);
-        let ids: Vec<usize> = self.clients.keys().copied().collect();
-        for id in ids {
-            // Input that has arrived is handled before the connection is closed.
-            self.process_input(now, id, core);
-            if let Some(client) = self.clients.get_mut(&id) {
-                if self.protocol.is_idle(&client.session) {
-                    client.closing_since.get_or_insert(now);
-                }
-            }
-            self.flush(now, id, core);
-        }
-        self.clients.is_empty() && self.lingering.is_empty()
-    }
 }
 
 #[cfg(test)]
--- a/src/front/protocol.rs
+++ b/src/front/protocol.rs
@@ -2,6 +2,7 @@
 //! core.
 
 use super::arrivals::ArrivalTimes;
+use super::shedding::NewCommands;
 use super::MAX_INPUT_BYTES;
 use crate::clock::Clock;
 use crate::core::{Answer, Content, Core, Origin};
@@ -95,6 +96,11 @@
         false
     }
 
+    /// Whether any command has no answer yet.
+    fn has_unanswered(&self, session: &Self::Session) -> bool {
+        !self.is_idle(session)
+    }
+
     /// Whether the connection can be closed without losing anything.
     fn is_idle(&self, session: &Self::Session) -> bool;
 
@@ -127,6 +133,8 @@
     AtCapacity,
     /// Another machine holds the address; the client may retry there at once.
     AddressMoved,
+    /// The process takes no new work on this connection; the client may retry on another one.
+    Draining,
     /// The id is that of an open request.
     IdInUse,
     /// Too much of the time to the deadline had passed when the request was read.
@@ -147,6 +155,8 @@
     /// Set if all requests are declined at the moment: request bodies are at their memory limit, the connection
     /// is over the client limit, or another machine holds the address that the client connected to.
     pub(super) decline: Option<Declined>,
+    /// What happens to commands that begin now.
+    pub(super) new_commands: NewCommands,
     /// Whether nothing that had arrived is left with the kernel.
     pub drained: bool,
     /// Whether the process is in service, as reported to health checks.
@@ -162,6 +172,20 @@
             .min(self.now)
     }
 
+    /// Why a command of `length` bytes that begins now is declined, if it is. Commands that were begun earlier are completed
+    /// without asking again.
+    pub fn decline_new(&mut self, length: usize) -> Option<Declined> {
+        if self.decline.is_some() {
+            return self.decline;
+        }
+        let NewCommands::DeclineFrom(since) = self.new_commands else { return None };
+        if self.arrival_of_command(length) < self.clock.unix(since) {
+            return None;
+        }
+        self.core.counters.requests_declined_draining += 1;
+        Some(Declined::Draining)
+    }
+
     /// Submits a request of `length` bytes whose client waits for `timeout` from its last byte on.
     ///
     /// Declines it while the memory or the number of clients is at its limit, and if half of its time has
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -113,7 +113,11 @@
                 }
                 Ok(Command::Request { new, timeout, content }) => {
                     session.request_received = true;
-                    match intake.submit((sequence, length), new, timeout, *content) {
+                    let submitted = match intake.decline_new(length) {
+                        Some(reason) => Err(reason),
+                        None => intake.submit((sequence, length), new, timeout, *content),
+                    };
+                    match submitted {
                         Ok(request) => (Some(length), Some(request), None),
                         Err(reason) => (Some(length), None, Some(self.decline_answer(reason))),
                     }
@@ -245,6 +249,10 @@
         }
     }
 
+    fn has_unanswered(&self, session: &Session) -> bool {
+        !session.pending.is_empty()
+    }
+
     fn is_idle(&self, session: &Session) -> bool {
         session.pending.is_empty() && session.receiving.is_none()
     }
@@ -284,7 +292,8 @@
             }
         }
         let no_memory = body_stream.is_discarded().then_some(Declined::AtCapacity);
-        if let Some(reason) = intake.decline.or(no_memory).filter(|_| unsubmitted.is_some()) {
+        let declined = intake.decline_new(head.start).or(no_memory);
+        if let Some(reason) = declined.filter(|_| unsubmitted.is_some()) {
             // Answered before the body is received, so that the client need not send it.
             (unsubmitted, pending.answer) = (None, Some(self.decline_answer(reason)));
         }
@@ -387,7 +396,7 @@
 
     fn decline_answer(&self, reason: Declined) -> Vec<u8> {
         match reason {
-            Declined::AtCapacity | Declined::Late => busy_line(self.retry_after),
+            Declined::AtCapacity | Declined::Draining | Declined::Late => busy_line(self.retry_after),
             Declined::AddressMoved => busy_line(MOVED_RETRY_AFTER),
             Declined::IdInUse => error_line("the id is in use"),
         }
--- a/src/front/sweep.rs
+++ b/src/front/sweep.rs
@@ -7,6 +7,8 @@
 use crate::core::Core;
 use std::time::{Duration, Instant};
 
+/// Interval between checks of all clients for expired timeouts.
+pub(super) const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// A client is closed if it sends no command for this long, or if an incomplete command makes no progress for
 /// this long. The head of a command may take two seconds.
 pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_millis(2600);
@@ -19,11 +21,6 @@
 const SILENCE_TIMEOUT_SHEDDING: Duration = Duration::from_millis(1000);
 
 impl<P: Protocol> Front<P> {
-    /// Whether connections are closed as soon as they are idle.
-    pub(super) fn is_shedding(&self, now: Instant) -> bool {
-        !self.client_policy.hand_over && self.client_policy.shed_from.is_some_and(|from| from <= now)
-    }
-
     /// Whether an idle client has not received all of its answers yet. It counts as active as long as it goes on reading.
     fn is_still_reading(&mut self, now: Instant, id: usize) -> bool {
         let Some(client) = self.clients.get_mut(&id) else { return false };
@@ -51,10 +48,10 @@
             let stalled_write = !all_written && now - client.last_write_progress > READ_TIMEOUT;
             // A client that was redirected may have another command on its way, which is to be answered.
             let redirect_idle =
-                client.redirected_since.is_some() && now - client.last_active > MIN_SILENCE_BEFORE_EVICTION;
+                client.declined_since.is_some() && now - client.last_active > MIN_SILENCE_BEFORE_EVICTION;
             // Answers that are still coming from their nodes are passed on before the close.
             let close_expired = client.closing_since.is_some_and(|since| now - since > CLOSE_TIMEOUT)
-                && protocol.is_idle(session)
+                && !protocol.has_unanswered(session)
                 && now - client.last_write_progress > CLOSE_TIMEOUT;
             if silent || stalled_write || close_expired {
                 core.counters.clients_silent += 1;
@@ -83,7 +80,7 @@
         to_drop.into_iter().for_each(|id| self.drop_client(id, core));
         unused.retain(|id| !self.is_still_reading(now, *id));
         for id in to_close.into_iter().chain(unused) {
-            self.close_gracefully(now, id);
+            self.close_unless_readable(now, id);
         }
         // Idle clients are closed above this limit because open connections take up descriptors that the next
         // requests need. An idle client can reconnect.
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -45,7 +45,7 @@
     pub ready: bool,
     /// Whether idle clients are kept, because they could not reconnect.
     pub keep_idle: bool,
-    /// From this time on clients are closed as they become idle, and no new commands are read from them until then.
+    /// From this time on clients are closed as they become idle, and new commands are declined or left to another process.
     pub shed_from: Option<Instant>,
     /// Idle clients are handed over to another process with their connections; otherwise these are closed.
     pub hand_over: bool,
--- a/tests/net/helper.rs
+++ b/tests/net/helper.rs
@@ -717,6 +717,11 @@
         Client { stream, input: Vec::new() }
     }
 
+    /// A second handle on the connection, to read from it while this one writes.
+    pub fn split(&self) -> Client {
+        Client::from_stream(self.stream.try_clone().unwrap())
+    }
+
     /// Writes bytes and ignores errors: the peer may have closed the connection.
     pub fn write(&mut self, bytes: &[u8]) {
         let _ = self.try_write(bytes);
--- a/tests/net/iscsi.rs
+++ b/tests/net/iscsi.rs
@@ -12,11 +12,11 @@
 use topazpath::iscsi::{text, Opcode, Pdu};
 use topazpath::resp::Value;
 
-const BLOCK: usize = 512;
+pub const BLOCK: usize = 512;
 const NAME: &str = "iqn.2026-12.example:records";
 
 /// A connection that sends and receives PDUs.
-struct PduConnection {
+pub struct PduConnection {
     stream: TcpStream,
     input: Vec<u8>,
 }
@@ -26,14 +26,14 @@
         PduConnection { stream, input: Vec::new() }
     }
 
-    fn send(&mut self, pdu: Pdu) {
+    pub fn send(&mut self, pdu: Pdu) {
         let mut bytes = Vec::new();
         pdu.write(&mut bytes);
         // The peer may have closed the connection: the test notices at the next read.
         let _ = self.stream.write_all(&bytes);
     }
 
-    fn receive(&mut self) -> Option<Pdu> {
+    pub fn receive(&mut self) -> Option<Pdu> {
         read_message(&mut self.stream, &mut self.input, |input| Pdu::parse(input, 1 << 20).unwrap())
     }
 }
@@ -124,16 +124,16 @@
 }
 
 /// A fake iSCSI client with one session.
-struct IscsiClient {
-    connection: PduConnection,
-    cmd_sn: u32,
+pub struct IscsiClient {
+    pub connection: PduConnection,
+    pub cmd_sn: u32,
 }
 
 /// The SCSI status, its qualifier and the data that was read.
-type Outcome = (u8, u16, Vec<u8>);
+pub type Outcome = (u8, u16, Vec<u8>);
 
 impl IscsiClient {
-    fn login(address: SocketAddr) -> IscsiClient {
+    pub fn login(address: SocketAddr) -> IscsiClient {
         let mut connection = PduConnection::new(TcpStream::connect(address).unwrap());
         let keys =
             [("InitiatorName", "iqn.2026-12.example:town"), ("TargetName", NAME), ("ImmediateData", "Yes")];
@@ -146,7 +146,7 @@
     }
 
     /// Sends a command: a read that expects two blocks, or a write with its first block as immediate data.
-    fn start(&mut self, tag: u32, cdb: [u8; 16], body: &[u8]) {
+    pub fn start(&mut self, tag: u32, cdb: [u8; 16], body: &[u8]) {
         let length = if body.is_empty() { 2 * BLOCK } else { body.len() };
         let flags = FINAL | if body.is_empty() { 0x40 } else { 0x20 };
         let mut command = Pdu::new(Opcode::ScsiCommand, tag).with_flags(flags).with(20, length as u32);
@@ -158,7 +158,7 @@
     }
 
     /// Completes a command, sending the data that is requested, and returns its status and data.
-    fn finish(&mut self, tag: u32, body: &[u8]) -> Outcome {
+    pub fn finish(&mut self, tag: u32, body: &[u8]) -> Outcome {
         let mut value = Vec::new();
         loop {
             let pdu = self.connection.receive().expect("a status");
@@ -184,20 +184,26 @@
         }
     }
 
-    fn read(&mut self, block: u64) -> Outcome {
+    pub fn read(&mut self, block: u64) -> Outcome {
         self.start(9, Cdb::transfer(false, block, 2), &[]);
         self.finish(9, &[])
     }
 
-    fn write(&mut self, block: u64, body: &[u8]) -> Outcome {
+    pub fn write(&mut self, block: u64, body: &[u8]) -> Outcome {
         self.start(8, Cdb::transfer(true, block, (body.len() / BLOCK) as u32), body);
         self.finish(8, body)
     }
 }
 
+/// A piece of the data that an R2T asks for, from this offset on.
+pub fn data_out(r2t: &Pdu, offset: usize, data: &[u8], last: bool) -> Pdu {
+    let out = Pdu::new(Opcode::DataOut, r2t.task_tag()).with_flags(if last { FINAL } else { 0 });
+    out.with(20, r2t.u32(20)).with(40, offset as u32).with_data(data)
+}
+
 /// Settings of the iSCSI front with one unit, on a target (its address and `drops_repeats_ms`) or on a RESP2 node's
 /// shard.
-fn setup(storage: Option<(SocketAddr, u64)>, plan: &str) -> Setup {
+pub fn setup(storage: Option<(SocketAddr, u64)>, plan: &str) -> Setup {
     let (shard, section) = match storage {
         None => (3, String::new()),
         Some((address, drops_repeats_ms)) => (
--- a/tests/net/main.rs
+++ b/tests/net/main.rs
@@ -2,6 +2,7 @@
 
 mod acceptance;
 mod configuration;
+mod drain;
 mod fleet;
 mod helper;
 mod iscsi;
--- a/tests/net/operators.rs
+++ b/tests/net/operators.rs
@@ -152,7 +152,7 @@
     let gates = [Gate::default(), Gate::default()];
     let shared_gates = gates.clone();
     let node = Node::start(move |_, words| {
-        shared_gates[usize::from(words[1].ends_with(b"2"))].wait_until_open();
+        shared_gates[usize::from(words[1].ends_with(b"3"))].wait_until_open();
         Reply::Value(words[1].clone())
     });
     let discovery = Discovery::start(&[("s-1", node.address, 3)]);
@@ -162,14 +162,17 @@
     idle.receive();
     assert!(program.admin_command("drain").starts_with("200 "));
     busy.request(1, 3, "", None);
-    // Once the idle connection is closed, the busy one is no longer read; a second command waits on it.
+    // Once the idle connection is closed, what a busy one begins is declined.
     assert_eq!(idle.try_receive(), None);
     busy.request(2, 3, "", None);
+    program.wait_for_info("requests_declined_draining:1");
     assert!(program.admin_command("resume").starts_with("200 "));
+    busy.request(3, 3, "", None);
     // Nothing is answered before the resume: a connection without open requests may be closed. The answers keep the
     // order of the requests, since an answer that a later one overtakes is taken to be lost.
-    for (gate, object) in gates.iter().zip([b"0000000000000001", b"0000000000000002"]) {
-        gate.open();
-        assert_eq!(busy.receive(), Value::Bulk(Some(object.to_vec())));
-    }
+    gates[0].open();
+    assert_eq!(busy.receive(), bulk(b"0000000000000001"));
+    assert!(matches!(busy.receive(), Value::Error(line) if line.starts_with(b"BUSY")));
+    gates[1].open();
+    assert_eq!(busy.receive(), bulk(b"0000000000000003"), "the connection is served again");
 }
