Accepted iSCSI writes may buffer their own data, whatever memory is left

What callers would see: writes that take up the memory for input that is not whole get no status, as their own Data-Out PDUs of 64 KiB are read no further.

Cause: memory for all data of a write is granted before its R2T, but the input buffer that its PDU passes through was limited to what the same purpose had left.

Change: a session may buffer as much input as is missing of its accepted writes; that much is granted and not resident yet.

--- a/src/front/iscsi.rs
+++ b/src/front/iscsi.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    fn granted_input(&self, session: &Session) -> usize {
+        let unfinished = session.tasks.values().filter(|task| task.request.is_none());
+        unfinished.map(|task| task.expected_length - task.body.len()).sum()
+    }
+
     fn abandon_unfinished(&self, session: &mut Session, _: &mut Vec<u8>) {
         session.tasks.retain(|_, task| task.request.is_some());
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -212,7 +212,8 @@
             return (READ_AHEAD_BYTES.min(held + available / 2).max(MIN_INPUT_BYTES), false);
         }
         let usable = protocol.max_input(&client.session);
-        let affordable = (held + available).max(MIN_INPUT_BYTES);
+        let granted = protocol.granted_input(&client.session);
+        let affordable = (held + available).max(granted + MIN_INPUT_BYTES);
         (usable.min(affordable), affordable < usable)
     }
 
--- a/src/front/protocol.rs
+++ b/src/front/protocol.rs
@@ -72,6 +72,11 @@
         MAX_INPUT_BYTES
     }
 
+    /// Bytes of input for which the session has taken memory already: the missing data of commands that it has begun.
+    fn granted_input(&self, _: &Self::Session) -> usize {
+        0
+    }
+
     /// Drops commands whose rest is not received any more, and writes what is to be told of them.
     fn abandon_unfinished(&self, session: &mut Self::Session, output: &mut Vec<u8>);
 
--- a/tests/net/iscsi.rs
+++ b/tests/net/iscsi.rs
@@ -375,6 +375,48 @@
     program.wait_for_info("input_bytes:0");
 }
 
+/// Accepted iSCSI writes could not be completed while they took up all memory for input: their own data were read no further, for
+/// want of the same memory (the class of review/8).
+#[test]
+fn writes_that_take_up_all_memory_for_input_are_completed() {
+    const SESSIONS: usize = 3;
+    const WRITES: u32 = 16;
+    const BLOCKS: usize = 128;
+    const PIECE: usize = 64 * 1024;
+    let node = Node::echo();
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let mut setup = Setup { memory_mb: 16, ..setup(None, "plus") };
+    setup.iscsi = setup.iscsi.replace("unit_bytes = 512", "unit_bytes = 8192");
+    let program = Program::start(&discovery, setup);
+    let body = vec![1; BLOCKS * BLOCK];
+    let mut sessions: Vec<IscsiClient> =
+        (0..SESSIONS).map(|_| IscsiClient::login(program.iscsi.unwrap())).collect();
+    let (mut requested, mut declined) = (Vec::new(), 0);
+    for (number, session) in sessions.iter_mut().enumerate() {
+        for tag in 0..WRITES {
+            session.start(tag, Cdb::transfer(true, u64::from(tag) * BLOCKS as u64, BLOCKS as u32), &body);
+        }
+        for _ in 0..WRITES {
+            let answer = session.connection.receive().expect("an answer to each write");
+            match answer.opcode() {
+                Some(Opcode::R2t) => requested.push((number, answer)),
+                _ => declined += 1,
+            }
+        }
+    }
+    assert!(declined > 0, "all writes together take more than there is");
+    for (number, r2t) in &requested {
+        let client = &mut sessions[*number];
+        let mut offset = r2t.u32(40) as usize;
+        while offset < body.len() {
+            let end = (offset + PIECE).min(body.len());
+            client.connection.send(data_out(r2t, offset, &body[offset..end], end == body.len()));
+            offset = end;
+        }
+        assert_eq!(client.finish(r2t.task_tag(), &[]).0, GOOD);
+    }
+}
+
 /// Guards against memory that grows with every command (found beside review/6): commands for immediate delivery pass by the
 /// window of a session.
 #[test]
