Commands that are not whole end with their client or with the process

What callers would see: an iSCSI write whose client stops sending its data stays open for good and a drain never ends; a write whose data are on their way when the process ends gets no status.

Cause: a begun command belonged to nobody until its last byte. Stalled clients were found by an incomplete command in the input buffer, which is empty between two Data-Out PDUs; at the end of the process only submitted requests were answered.

When the core answers everything at the end of the process, fronts answer BUSY for what is not whole. A replaced process whose successor dies while it ends serves its clients instead of keeping them for a hand-over.

--- a/src/forwarder/succession.rs
+++ b/src/forwarder/succession.rs
@@ -88,7 +88,11 @@
                     self.publish_service_state();
                     self.upgrade.listen(self.poll.registry());
                 }
-                UpgradeEvent::SuccessorGone => {}
+                UpgradeEvent::SuccessorGone => {
+                    // Nobody is left to hand clients over to: they are served as long as this process lasts.
+                    self.state.undo_replace();
+                    self.publish_service_state();
+                }
             }
         }
     }
@@ -159,13 +163,14 @@
         {
             return false;
         }
-        if elapsed >= longest + ANSWER_ALL_AFTER {
+        let answer_all = elapsed >= longest + ANSWER_ALL_AFTER;
+        if answer_all {
             // Guards against being killed while requests have no answer.
             self.core.terminate_all();
         }
         self.run_planner(now);
-        let iscsi = self.iscsi.as_mut().is_none_or(|front| front.shut_down(now, &mut self.core));
-        let resp = self.resp.shut_down(now, &mut self.core);
+        let iscsi = self.iscsi.as_mut().is_none_or(|front| front.shut_down(now, answer_all, &mut self.core));
+        let resp = self.resp.shut_down(now, answer_all, &mut self.core);
         self.run_planner(now);
         let released = self.addresses.as_ref().is_none_or(Addresses::all_released);
         (iscsi && resp && released && self.core.open_requests() == 0) || elapsed >= longest + EXIT_AFTER
--- a/src/front/client.rs
+++ b/src/front/client.rs
@@ -3,6 +3,7 @@
 use super::arrivals::ArrivalTimes;
 use super::idle::IdlePosition;
 use super::reading::ReadProgress;
+use super::MAX_UNSENT_BYTES;
 use crate::conn::Conn;
 use crate::flow::WINDOW;
 use crate::memory::{Budget, Grant, Purpose};
@@ -129,6 +130,11 @@
         self.input_memory.bytes() + self.answer_memory.bytes()
     }
 
+    /// Whether input of it may have arrived that this side has not read, or not handled, for reasons of its own.
+    pub fn waits_for_this_side(&self) -> bool {
+        self.queued || self.waits_for_memory || self.conn.unwritten() > MAX_UNSENT_BYTES
+    }
+
     /// Whether all output that may be written now was passed to the kernel.
     pub fn all_written(&self) -> bool {
         self.conn.unwritten() == 0 && !self.stream_blocked
--- a/src/front/iscsi.rs
+++ b/src/front/iscsi.rs
@@ -3,7 +3,7 @@
 //! A transfer becomes a request of the core. Refused is SCSI BUSY with a retry delay in the status qualifier,
 //! failed is CHECK CONDITION; whatever else a client asks for is answered here.
 
-use super::{CloseConnection, Declined, Intake, Protocol, MOVED_RETRY_AFTER};
+use super::{Abandoned, CloseConnection, Declined, Intake, Protocol, StallLimits, MOVED_RETRY_AFTER};
 use crate::config::iscsi::{Export, Iscsi, Unit};
 use crate::core::{Answer, Content, Extent, Operation};
 use crate::interface::{NewRequest, RequestId, Settings};
@@ -87,6 +87,10 @@
     max_burst: usize,
     tasks: HashMap<u64, Task>,
     next_sequence: u64,
+    /// When data of a write last arrived, and when the last write became whole; at the earliest when the first of the writes
+    /// that are not whole was begun.
+    data_at: Duration,
+    whole_at: Duration,
 }
 
 /// A transfer without a status.
@@ -128,6 +132,8 @@
             max_burst: MAX_BURST,
             tasks: HashMap::new(),
             next_sequence: 0,
+            data_at: Duration::ZERO,
+            whole_at: Duration::ZERO,
         }
     }
 
@@ -208,8 +214,19 @@
         unfinished.map(|task| task.expected_length - task.body.len()).sum()
     }
 
-    fn abandon_unfinished(&self, session: &mut Session, _: &mut Vec<u8>) {
-        session.tasks.retain(|_, task| task.request.is_some());
+    fn abandon_unfinished(&self, session: &mut Session, reason: Abandoned, output: &mut Vec<u8>) {
+        let unfinished = session.tasks.extract_if(|_, task| task.request.is_none());
+        for (_, task) in unfinished.collect::<Vec<_>>() {
+            match reason {
+                Abandoned::ByClient => session.write_sense(&task, scsi::DATA_PHASE_ERROR, output),
+                Abandoned::Ending => self.write_declined(session, &task, Declined::Draining, output),
+            }
+        }
+    }
+
+    fn is_stalled(&self, session: &Session, limits: &StallLimits) -> bool {
+        let late = session.data_at < limits.data_since || session.whole_at < limits.whole_since;
+        late && session.awaits_data()
     }
 
     fn open_requests(&self, session: &Session) -> Vec<RequestId> {
@@ -402,6 +419,9 @@
                     }
                     let sequence = session.next_sequence;
                     session.next_sequence += 1;
+                    if !session.awaits_data() {
+                        (session.data_at, session.whole_at) = (intake.now, intake.now);
+                    }
                     return self.request_data_or_submit(session, sequence, task, output, intake);
                 }
                 Vec::new()
@@ -521,6 +541,12 @@
             return Ok(());
         }
         task.body.extend_from_slice(&pdu.data);
+        if !pdu.data.is_empty() {
+            session.data_at = intake.now;
+        }
+        if task.body.len() == task.expected_length {
+            session.whole_at = intake.now;
+        }
         if pdu.flags() & FINAL == 0 {
             session.tasks.insert(sequence, task);
         } else {
@@ -531,6 +557,11 @@
 }
 
 impl Session {
+    /// Whether data of any write are still to come.
+    fn awaits_data(&self) -> bool {
+        self.tasks.values().any(|task| task.request.is_none())
+    }
+
     /// The last command number that the session accepts; the window shrinks with the number of open tasks.
     fn max_cmd_sn(&self) -> u32 {
         self.expected_cmd_sn
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -38,7 +38,7 @@
 use sweep::TIMEOUT_CHECK_INTERVAL;
 
 pub use client::StreamMemory;
-pub use protocol::{CloseConnection, Declined, Intake, Protocol, UnfinishedAnswer};
+pub use protocol::{Abandoned, CloseConnection, Declined, Intake, Protocol, StallLimits, UnfinishedAnswer};
 pub use room::ClientLimits;
 
 /// Unsent bytes of answers on a connection; above it nothing more is read from the client.
@@ -55,6 +55,8 @@
 /// iteration; the limit keeps them from waiting behind all input that accumulated while the process was not
 /// scheduled.
 const MAX_CLIENTS_PER_ITERATION: usize = 64;
+/// Time within which the body of a command must arrive completely; bounds clients that send it byte by byte forever.
+const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Retry delay for a client whose address is moving to another machine, which answers there by about that time.
 pub const MOVED_RETRY_AFTER: Duration = Duration::from_millis(20);
 
@@ -234,9 +236,7 @@
         client.partial_since = None;
         client.conn.consume(client.conn.input.len());
         self.protocol.open_requests(&client.session).into_iter().for_each(|request| core.terminate(request));
-        let mut output = Vec::new();
-        self.protocol.abandon_unfinished(&mut client.session, &mut output);
-        client.conn.push(&output);
+        self.abandon_unfinished(id, Abandoned::ByClient);
     }
 
     /// A client's connection is writable and has nothing to read. Ignored unless there is something to write or
--- a/src/front/protocol.rs
+++ b/src/front/protocol.rs
@@ -77,8 +77,14 @@
         0
     }
 
-    /// Drops commands whose rest is not received any more, and writes what is to be told of them.
-    fn abandon_unfinished(&self, session: &mut Self::Session, output: &mut Vec<u8>);
+    /// Drops commands whose rest is not received any more, and writes their answers.
+    fn abandon_unfinished(&self, session: &mut Self::Session, reason: Abandoned, output: &mut Vec<u8>);
+
+    /// Whether the client has stopped within commands that were begun, by these limits. A protocol whose commands arrive
+    /// in one piece leaves that to the front, which sees an incomplete command in the input.
+    fn is_stalled(&self, _: &Self::Session, _limits: &StallLimits) -> bool {
+        false
+    }
 
     /// Whether the head of a command was taken and its body is still being received.
     fn is_receiving_body(&self, _: &Self::Session) -> bool {
@@ -146,6 +152,23 @@
     Late,
 }
 
+/// Why the rest of a command is not received any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Abandoned {
+    /// The client has stopped in the middle of it, or has sent something that can't be understood.
+    ByClient,
+    /// The process ends.
+    Ending,
+}
+
+/// Limits for a client that is in the middle of commands, in Unix time.
+pub struct StallLimits {
+    /// Some of their data has to have arrived since.
+    pub data_since: Duration,
+    /// One of them has to have become whole since.
+    pub whole_since: Duration,
+}
+
 /// Submits the requests of one connection to the core.
 pub struct Intake<'a> {
     /// The core, which takes the requests.
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -1,7 +1,8 @@
 //! RESP2 front: the commands `OBJ.GET`, `OBJ.PUT`, `PING` and `INFO`.
 
 use super::{
-    CloseConnection, Declined, Intake, Protocol, UnfinishedAnswer, MAX_INPUT_BYTES, MOVED_RETRY_AFTER,
+    Abandoned, CloseConnection, Declined, Intake, Protocol, UnfinishedAnswer, BODY_TIMEOUT, MAX_INPUT_BYTES,
+    MOVED_RETRY_AFTER,
 };
 use crate::config::Wire;
 use crate::core::{Answer, Content, Operation};
@@ -18,8 +19,6 @@
 const TERMINATOR: &[u8] = b"\r\n";
 /// Elements of a write command, with the body last.
 const PUT_ELEMENTS: usize = 5;
-/// Time within which a body must arrive completely; bounds clients that send it byte by byte forever.
-const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// The RESP2 protocol, with the configured names that requests refer to.
 pub struct Resp {
@@ -227,11 +226,15 @@
         }
     }
 
-    fn abandon_unfinished(&self, session: &mut Session, output: &mut Vec<u8>) {
+    fn abandon_unfinished(&self, session: &mut Session, reason: Abandoned, output: &mut Vec<u8>) {
         let Some(receiving) = session.receiving.take() else { return };
         receiving.body_stream.discard();
         if receiving.unsubmitted.is_some() {
-            session.set_answer(receiving.sequence, Some(error_line("the command is not whole")), output);
+            let answer = match reason {
+                Abandoned::ByClient => error_line("the command is not whole"),
+                Abandoned::Ending => self.decline_answer(Declined::Draining),
+            };
+            session.set_answer(receiving.sequence, Some(answer), output);
         }
     }
 
--- a/src/front/shedding.rs
+++ b/src/front/shedding.rs
@@ -6,7 +6,7 @@
 //! it. A client that keeps sending is read on for a limited time.
 
 use super::client::Client;
-use super::protocol::Protocol;
+use super::protocol::{Abandoned, Protocol};
 use super::sweep::{SILENCE_TIMEOUT, TIMEOUT_CHECK_INTERVAL};
 use super::Front;
 use crate::conn::ReadEnd;
@@ -44,7 +44,7 @@
     }
 
     /// Since when load is shed, if it is.
-    fn shedding_since(&self, now: Instant) -> Option<Instant> {
+    pub(super) fn shedding_since(&self, now: Instant) -> Option<Instant> {
         let shed_from = self.client_policy.shed_from.filter(|from| *from <= now);
         [shed_from, self.ending_since].into_iter().flatten().min()
     }
@@ -136,21 +136,31 @@
         }
     }
 
-    /// Stops listening and closes clients as they become idle; true once no connection is left.
-    pub fn shut_down(&mut self, now: Instant, core: &mut Core) -> bool {
+    /// Stops listening and closes clients as they become idle; true once no connection is left. With `answer_all`, commands
+    /// that are not whole are answered too.
+    pub fn shut_down(&mut self, now: Instant, answer_all: bool, core: &mut Core) -> bool {
         self.endpoints.iter_mut().for_each(|endpoint| endpoint.listener = None);
         self.ending_since.get_or_insert(now);
         let ids: Vec<usize> = self.clients.keys().copied().collect();
         for id in ids {
             // Input that has arrived is handled before the connection is closed.
             self.process_input(now, id, core);
-            if let Some(client) = self.clients.get_mut(&id) {
-                if self.protocol.is_idle(&client.session) {
-                    client.closing_since.get_or_insert(now);
-                }
-            }
+            self.close_at_the_end(now, id, answer_all);
             self.flush(now, id, core);
         }
         self.clients.is_empty() && self.lingering.is_empty()
     }
+
+    /// Reads no more from a client that is idle, unless it can be handed over, and with `answer_all` from any that is not.
+    fn close_at_the_end(&mut self, now: Instant, id: usize, answer_all: bool) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let idle = self.protocol.is_idle(&client.session);
+        if idle && !self.client_policy.hand_over || !idle && answer_all {
+            client.closing_since.get_or_insert(now);
+            client.partial_since = None;
+        }
+        if answer_all {
+            self.abandon_unfinished(id, Abandoned::Ending);
+        }
+    }
 }
--- a/src/front/sweep.rs
+++ b/src/front/sweep.rs
@@ -1,9 +1,9 @@
 //! Clients that are silent, do not go on, do not read or were idle for long are looked for at intervals, and closed.
 
-use super::protocol::Protocol;
+use super::protocol::{Abandoned, Protocol, StallLimits};
 use super::reading::READ_TIMEOUT;
 use super::room::MIN_SILENCE_BEFORE_EVICTION;
-use super::Front;
+use super::{Front, BODY_TIMEOUT};
 use crate::core::Core;
 use std::time::{Duration, Instant};
 
@@ -35,9 +35,10 @@
     /// Closes clients that are silent, stalled, not reading, or idle for too long, so that connections that are
     /// opened by the hundred and never used do not accumulate.
     pub(super) fn close_timed_out(&mut self, now: Instant, core: &mut Core) {
-        let (mut to_drop, mut to_finish, mut to_close, mut unused) =
-            (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        let (mut to_drop, mut to_finish, mut to_abandon, mut to_close, mut unused) =
+            (Vec::new(), Vec::new(), Vec::new(), Vec::new(), Vec::new());
         let shedding = self.is_shedding(now);
+        let stall_limits = self.stall_limits(now);
         for (id, client) in &self.clients {
             let (protocol, session) = (&self.protocol, &client.session);
             // A client that has begun a command is not idle, however slowly it continues.
@@ -59,6 +60,9 @@
             } else if client.partial_since.is_some_and(|since| now - since > SILENCE_TIMEOUT) {
                 core.counters.clients_silent += 1;
                 to_finish.push(*id);
+            } else if !client.waits_for_this_side() && protocol.is_stalled(session, &stall_limits) {
+                core.counters.clients_silent += 1;
+                to_abandon.push(*id);
             } else if idle
                 && all_written
                 && (redirect_idle
@@ -92,5 +96,30 @@
             self.finish_and_close(now, id, core);
             self.flush(now, id, core);
         }
+        for id in to_abandon {
+            self.abandon_unfinished(id, Abandoned::ByClient);
+            self.flush(now, id, core);
+        }
+    }
+
+    /// Since when a client that is in the middle of commands has to have gone on. While load is shed no further commands
+    /// are begun, and those that were are given the time of one.
+    fn stall_limits(&self, now: Instant) -> StallLimits {
+        let now_unix = self.clock.unix(now);
+        let shed_for = self.shedding_since(now).map(|since| now.saturating_duration_since(since));
+        let overdue = shed_for.is_some_and(|shed_for| shed_for > BODY_TIMEOUT);
+        let whole_within = if overdue { Duration::ZERO } else { BODY_TIMEOUT };
+        StallLimits {
+            data_since: now_unix.saturating_sub(SILENCE_TIMEOUT),
+            whole_since: now_unix.saturating_sub(whole_within),
+        }
+    }
+
+    /// Ends the commands of a client that are not whole, and answers them. The client's other commands go on.
+    pub(super) fn abandon_unfinished(&mut self, id: usize, reason: Abandoned) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let mut output = Vec::new();
+        self.protocol.abandon_unfinished(&mut client.session, reason, &mut output);
+        client.conn.push(&output);
     }
 }
--- a/src/iscsi/scsi.rs
+++ b/src/iscsi/scsi.rs
@@ -25,6 +25,8 @@
 pub const NO_SUCH_UNIT: Sense = Sense(0x05, 0x2500);
 /// The command was started and its outcome is unknown.
 pub const COMMUNICATION_FAILURE: Sense = Sense(0x0b, 0x0800);
+/// The data of the command did not arrive, so it did not run.
+pub const DATA_PHASE_ERROR: Sense = Sense(0x0b, 0x4b00);
 
 impl Sense {
     /// Sense data in fixed format, preceded by their length, as in the data segment of a SCSI Response.
--- a/tests/net/drain.rs
+++ b/tests/net/drain.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use topazpath::iscsi::pdu::{FINAL, NO_TAG};
-use topazpath::iscsi::scsi::{Cdb, BUSY, GOOD};
+use topazpath::iscsi::scsi::{Cdb, BUSY, CHECK_CONDITION, GOOD};
 use topazpath::iscsi::{Opcode, Pdu};
 use topazpath::resp::{self, Value};
 
@@ -163,3 +163,91 @@
     assert_eq!(client.try_receive(), None);
     assert_eq!(node.count(), 1);
 }
+
+/// A session with a write whose data its client had stopped sending was never idle, so that a drain did not end (the class of
+/// review/8). The write is ended, and the other one that is open is served.
+#[test]
+fn an_iscsi_write_that_its_client_gives_up_ends_alone_and_holds_up_no_drain() {
+    let node = Node::echo();
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let mut setup = Setup { control: true, deadline_ms: 5000, ..setup(None, "plus") };
+    setup.iscsi = setup.iscsi.replace("unit_bytes = 512", "unit_bytes = 8192");
+    let program = Program::start(&discovery, setup);
+    let mut client = IscsiClient::login(program.iscsi.unwrap());
+    let body = vec![5; 2 * BLOCK];
+    let begin = |client: &mut IscsiClient, tag: u32| {
+        client.start(tag, Cdb::transfer(true, u64::from(tag) * 64, 2), &body);
+        client.connection.receive().expect("an R2T")
+    };
+    let (given_up, other) = (begin(&mut client, 1), begin(&mut client, 2));
+    let start = drain(&program);
+    // Its client keeps the session in use, and ends the other write.
+    client.connection.send(data_out(&other, BLOCK, &[5; BLOCK], true));
+    assert_eq!(client.finish(2, &[]).0, GOOD);
+    let begun = Instant::now();
+    let answer = loop {
+        let ping = Pdu::new(Opcode::NopOut, 50).with(20, NO_TAG).with(24, client.cmd_sn);
+        client.connection.send(ping);
+        client.cmd_sn += 1;
+        let answer = client.connection.receive().expect("an answer to the write");
+        if answer.opcode() != Some(Opcode::NopIn) {
+            break answer;
+        }
+        assert!(begun.elapsed() < WAIT_LIMIT);
+        thread::sleep(Duration::from_millis(50));
+    };
+    assert_eq!((answer.task_tag(), answer.header[3]), (given_up.task_tag(), CHECK_CONDITION));
+    while client.connection.receive().is_some() {}
+    assert!(start.elapsed() < DRAINED_WITHIN, "{:?}", start.elapsed());
+    assert_eq!(node.count(), 1, "the write that was given up does not run");
+}
+
+/// An iSCSI write whose data were on their way when the process ended got no status.
+#[test]
+fn writes_that_are_not_whole_when_the_process_ends_are_declined() {
+    let node = Node::echo();
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let mut setup = Setup { control: true, deadline_ms: 1000, ..setup(None, "plus") };
+    setup.iscsi = setup.iscsi.replace("unit_bytes = 512", "unit_bytes = 8192");
+    let mut program = Program::start(&discovery, setup);
+    let mut client = IscsiClient::login(program.iscsi.unwrap());
+    let mut writer = Client::connect(program.resp);
+    let list = b"c=write,t=plus,d=900,volume=00000000000000a0,units=2,shard=3,hosts=1";
+    let command = resp::command(&[b"OBJ.PUT", b"0000000000000001", b"11", list, &[7; 50_000]]);
+    writer.write(&command[..1000]);
+    client.start(1, Cdb::transfer(true, 64, 4), &[5; 4 * BLOCK]);
+    assert_eq!(client.connection.receive().unwrap().opcode(), Some(Opcode::R2t));
+    program.terminate();
+    assert_eq!(client.finish(1, &[]).0, BUSY);
+    assert!(is_busy(&writer.receive()));
+    assert_eq!((client.connection.receive(), writer.try_receive()), (None, None));
+    assert!(program.wait().success());
+    assert_eq!(node.count(), 0, "neither runs");
+}
+
+/// Guards against taking a client for stalled that sends the data of its writes one write after the other, slowly.
+#[test]
+fn iscsi_writes_whose_data_come_one_after_the_other_are_served_however_long_the_last_one_waits() {
+    const BLOCKS: usize = 8;
+    /// Longer in all than a client may stop within a command.
+    const PAUSE: Duration = Duration::from_millis(450);
+    let node = Node::echo();
+    let discovery = Discovery::start(&[("s-1", node.address, 3)]);
+    let mut setup = setup(None, "plus");
+    setup.iscsi = setup.iscsi.replace("unit_bytes = 512", "unit_bytes = 8192");
+    let program = Program::start(&discovery, setup);
+    let mut client = IscsiClient::login(program.iscsi.unwrap());
+    let body = vec![5; BLOCKS * BLOCK];
+    let requested = [1, 2].map(|tag| {
+        client.start(tag, Cdb::transfer(true, u64::from(tag) * 64, BLOCKS as u32), &body);
+        client.connection.receive().expect("an R2T")
+    });
+    for (r2t, pause) in requested.iter().zip([PAUSE, Duration::ZERO]) {
+        for piece in 1..BLOCKS {
+            let last = piece + 1 == BLOCKS;
+            client.connection.send(data_out(r2t, piece * BLOCK, &body[..BLOCK], last));
+            thread::sleep(pause);
+        }
+        assert_eq!(client.finish(r2t.task_tag(), &[]).0, GOOD);
+    }
+}
