A hand-over is read until nothing is left, and the old process waits until it is sent

Cause: a read of the link ends behind a descriptor, and the successor stopped reading when a read had completed no frame; readiness is notified once. Beside it: a failed write to a peer that had closed was taken for the end before its frames were read; the old process ended with frames in its queue.

Change: a link tells received, blocked and ended apart and is read until it blocks or ends, whatever a write says. The old process ends only when its frames are with the kernel, within its time; what the successor has not taken 50 ms before the end is answered here. A connection whose rest waits for the hand-over is left alone until then, also when it becomes idle.

--- a/src/forwarder/succession.rs
+++ b/src/forwarder/succession.rs
@@ -15,11 +15,12 @@
 /// After SIGTERM clients keep using their open connections. The platform waits for the longest deadline, of which at
 /// most this much counts, and another 700 ms before it kills the process.
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
-/// Times after the counted deadline: when to stop accepting work, when all open requests are answered, and when the
-/// process exits even if clients have not read their answers. The time between the first two is enough for most of
-/// the requests that arrive last.
+/// Times after the counted deadline: when to stop accepting work, when all open requests are answered, when clients are no
+/// longer kept for the successor, and when the process exits even if clients have not read their answers. The time
+/// between the first two is enough for most of the requests that arrive last.
 const STOP_ACCEPTING_AFTER: Duration = Duration::from_millis(250);
 const ANSWER_ALL_AFTER: Duration = Duration::from_millis(450);
+const HAND_OVER_UNTIL: Duration = Duration::from_millis(500);
 const EXIT_AFTER: Duration = Duration::from_millis(550);
 
 impl Forwarder {
@@ -169,10 +170,16 @@
             self.core.terminate_all();
         }
         self.run_planner(now);
+        if elapsed >= longest + HAND_OVER_UNTIL {
+            // What the successor has not taken by now is finished here.
+            self.resp.set_client_policy(self.state.session_policy());
+        }
         let iscsi = self.iscsi.as_mut().is_none_or(|front| front.shut_down(now, answer_all, &mut self.core));
         let resp = self.resp.shut_down(now, answer_all, &mut self.core);
         self.run_planner(now);
         let released = self.addresses.as_ref().is_none_or(Addresses::all_released);
-        (iscsi && resp && released && self.core.open_requests() == 0) || elapsed >= longest + EXIT_AFTER
+        let handed_over = self.upgrade.is_flushed();
+        (iscsi && resp && released && handed_over && self.core.open_requests() == 0)
+            || elapsed >= longest + EXIT_AFTER
     }
 }
--- a/src/front/shedding.rs
+++ b/src/front/shedding.rs
@@ -60,7 +60,8 @@
         let Some(since) = self.shedding_since(now) else { return NewCommands::Accept };
         let idle = self.protocol.is_idle(&client.session);
         if self.client_policy.hand_over {
-            return if idle { NewCommands::Accept } else { NewCommands::Leave };
+            // One that is paused waits for the hand-over.
+            return if idle && !client.paused { NewCommands::Accept } else { NewCommands::Leave };
         }
         let is_first = !self.protocol.has_sent_request(&client.session);
         if idle && (is_first || now < since + LAST_COMMANDS_GRACE) {
--- a/src/upgrade/link.rs
+++ b/src/upgrade/link.rs
@@ -27,6 +27,17 @@
     descriptors: Vec<OwnedFd>,
 }
 
+/// What came of a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkRead {
+    /// Bytes were received; more may be waiting.
+    Received,
+    /// Nothing is waiting, or nothing came within the read timeout of a blocking stream.
+    Blocked,
+    /// The peer has closed.
+    Ended,
+}
+
 /// One end of the connection. Each side sends its schema first; nothing else is read from a peer with another schema.
 pub struct Link {
     stream: UnixStream,
@@ -66,6 +77,11 @@
         self.output.len() < MAX_QUEUED_FRAMES
     }
 
+    /// Whether all queued frames are with the kernel.
+    pub fn is_flushed(&self) -> bool {
+        self.output.is_empty()
+    }
+
     /// Queues a frame.
     pub fn send(&mut self, frame: &Frame, descriptors: Vec<OwnedFd>) -> Result<(), String> {
         let payload = postcard::to_stdvec(frame).map_err(|error| error.to_string())?;
@@ -102,47 +118,34 @@
         Ok(())
     }
 
-    /// Reads available bytes; false once the peer has closed. On a blocking stream it returns after one read or the
-    /// stream's read timeout.
-    pub fn read(&mut self) -> Result<bool, String> {
+    /// Reads once. A read ends behind bytes that came with descriptors, so that only [`LinkRead::Blocked`] says that there
+    /// is nothing more (unix(7)).
+    ///
+    /// # Errors
+    ///
+    /// The connection failed, or the peer has sent more than a frame allows.
+    pub fn read(&mut self) -> Result<LinkRead, String> {
         let mut bytes = vec![0; READ_BYTES];
-        loop {
-            let mut space = cmsg_space!([RawFd; MAX_DESCRIPTORS_PER_MESSAGE]);
-            let mut buffers = [IoSliceMut::new(&mut bytes)];
-            let flags = MsgFlags::MSG_CMSG_CLOEXEC;
-            let (count, received) =
-                match recvmsg::<()>(self.stream.as_raw_fd(), &mut buffers, Some(&mut space), flags) {
-                    Ok(message) => {
-                        let mut received = Vec::new();
-                        for control in message.cmsgs().map_err(|error| error.to_string())? {
-                            if let ControlMessageOwned::ScmRights(raw) = control {
-                                // SAFETY: the kernel has just created these descriptors in this process; nothing else
-                                // owns them.
-                                received
-                                    .extend(raw.into_iter().map(|raw| unsafe { OwnedFd::from_raw_fd(raw) }));
-                            }
-                        }
-                        (message.bytes, received)
-                    }
-                    Err(Errno::EINTR) => continue,
-                    Err(Errno::EAGAIN) => return Ok(true),
-                    Err(error) => return Err(error.to_string()),
-                };
-            self.descriptors.extend(received);
-            if count == 0 {
-                return Ok(false);
-            }
-            self.input.extend_from_slice(&bytes[..count]);
-            if self.descriptors.len() > MAX_PENDING_DESCRIPTORS
-                || self.input.len() > LENGTH_BYTES + MAX_FRAME_BYTES + READ_BYTES
-            {
-                return Err("more bytes or descriptors received than a frame allows".into());
-            }
-            if count < READ_BYTES {
-                // Frames are parsed before more is read.
-                return Ok(true);
+        let mut space = cmsg_space!([RawFd; MAX_DESCRIPTORS_PER_MESSAGE]);
+        let (count, received) = loop {
+            match receive_message(self.stream.as_raw_fd(), &mut bytes, &mut space) {
+                Ok(received) => break received,
+                Err(Errno::EINTR) => {}
+                Err(Errno::EAGAIN) => return Ok(LinkRead::Blocked),
+                Err(error) => return Err(error.to_string()),
             }
+        };
+        self.descriptors.extend(received);
+        if count == 0 {
+            return Ok(LinkRead::Ended);
         }
+        self.input.extend_from_slice(&bytes[..count]);
+        if self.descriptors.len() > MAX_PENDING_DESCRIPTORS
+            || self.input.len() > LENGTH_BYTES + MAX_FRAME_BYTES + READ_BYTES
+        {
+            return Err("more bytes or descriptors received than a frame allows".into());
+        }
+        Ok(LinkRead::Received)
     }
 
     /// Returns the next complete frame that was read, with its descriptors.
@@ -175,3 +178,21 @@
         Ok(Some((frame, self.descriptors.drain(..count).collect())))
     }
 }
+
+/// Receives a message; returns its length and its descriptors.
+fn receive_message(
+    socket: RawFd,
+    bytes: &mut [u8],
+    space: &mut Vec<u8>,
+) -> Result<(usize, Vec<OwnedFd>), Errno> {
+    let mut buffers = [IoSliceMut::new(bytes)];
+    let message = recvmsg::<()>(socket, &mut buffers, Some(space), MsgFlags::MSG_CMSG_CLOEXEC)?;
+    let mut received = Vec::new();
+    for control in message.cmsgs()? {
+        if let ControlMessageOwned::ScmRights(raw) = control {
+            // SAFETY: the kernel has just created these descriptors in this process; nothing else owns them.
+            received.extend(raw.into_iter().map(|raw| unsafe { OwnedFd::from_raw_fd(raw) }));
+        }
+    }
+    Ok((message.bytes, received))
+}
--- a/src/upgrade/mod.rs
+++ b/src/upgrade/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::tokens::{Kind, Tokens};
 use frame::{Frame, HandoverState, ListenerAddress};
-use link::Link;
+use link::{Link, LinkRead};
 use mio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
 use std::collections::BTreeMap;
@@ -83,7 +83,7 @@
             if start.elapsed() >= RESPONSE_TIMEOUT {
                 return Err("timed out waiting for the other process".into());
             }
-            if !self.link.read()? {
+            if self.link.read()? == LinkRead::Ended {
                 return Err("the other process has ended".into());
             }
         }
@@ -268,34 +268,18 @@
     pub fn ready(&mut self, id: usize) -> Vec<UpgradeEvent> {
         let mut events = Vec::new();
         let Some(peer) = self.peers.get_mut(&id) else { return events };
+        // Readiness is notified only once: reads until nothing is left.
         let open = loop {
-            let open = match peer.link.flush().and_then(|()| peer.link.read()) {
-                Ok(open) => open,
-                Err(why) => {
-                    tracing::debug!("another process: {why}");
-                    false
-                }
-            };
-            let mut progress = false;
-            let failed = loop {
-                match peer.link.next() {
-                    Ok(Some((frame, descriptors))) => {
-                        progress = true;
-                        if !peer.handle(id, frame, descriptors, &mut events) {
-                            break true;
-                        }
-                    }
-                    Ok(None) => break false,
-                    Err(why) => {
-                        tracing::warn!("closing the connection to another process: {why}");
-                        break true;
-                    }
-                }
-            };
-            if failed || !open {
+            // A peer that has closed takes nothing more, but what it sent before is still there.
+            let _ = peer.link.flush();
+            let end = peer.link.read().unwrap_or_else(|why| {
+                tracing::debug!("another process: {why}");
+                LinkRead::Ended
+            });
+            if !peer.handle_frames(id, &mut events) || end == LinkRead::Ended {
                 break false;
             }
-            if !progress {
+            if end == LinkRead::Blocked {
                 break true;
             }
         };
@@ -349,6 +333,11 @@
         self.successor().is_some_and(|id| self.peers[&id].link.can_queue())
     }
 
+    /// Whether everything that was sent to the successor is with the kernel, which keeps it if this process ends.
+    pub fn is_flushed(&self) -> bool {
+        self.successor().is_none_or(|id| self.peers[&id].link.is_flushed())
+    }
+
     /// Hands a client over to the successor.
     pub fn send_client(&mut self, stream: TcpStream, input: Vec<u8>) {
         self.send_to_successor(&Frame::Client(input), vec![std::net::TcpStream::from(stream).into()]);
@@ -389,6 +378,24 @@
 }
 
 impl Peer {
+    /// Handles all frames that were received whole; false if the connection is to be closed.
+    fn handle_frames(&mut self, id: usize, events: &mut Vec<UpgradeEvent>) -> bool {
+        loop {
+            match self.link.next() {
+                Ok(Some((frame, descriptors))) => {
+                    if !self.handle(id, frame, descriptors, events) {
+                        return false;
+                    }
+                }
+                Ok(None) => return true,
+                Err(why) => {
+                    tracing::warn!("closing the connection to another process: {why}");
+                    return false;
+                }
+            }
+        }
+    }
+
     /// Handles a frame; false if a peer in this role must not send it.
     fn handle(
         &mut self,
--- a/src/upgrade/tests.rs
+++ b/src/upgrade/tests.rs
@@ -24,7 +24,7 @@
     let mut received = Vec::new();
     while received.len() < 3 {
         from.flush().unwrap();
-        assert!(to.read().unwrap());
+        assert_ne!(to.read().unwrap(), LinkRead::Ended);
         while let Some(frame) = to.next().unwrap() {
             received.push(frame);
         }
@@ -36,6 +36,31 @@
     assert_eq!(listener.local_addr().unwrap(), address);
 }
 
+/// Clients that the old process handed over just before its end were never answered (review/2): a read ends behind a
+/// descriptor, the rest was left in the socket, and its readiness had been notified already.
+#[test]
+fn all_clients_that_a_predecessor_handed_over_before_its_end_are_taken() {
+    const CLIENTS: usize = 2;
+    let now = Instant::now();
+    let (mut from, to) = pair();
+    to.set_nonblocking(true).unwrap();
+    let link = Link::new(UnixStream::from_std(to)).unwrap();
+    let mut upgrade = Upgrade::new(None, Token(0), now);
+    upgrade.peers.insert(16, Peer { link, role: Role::Predecessor, since: now, closing: false });
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    for _ in 0..CLIENTS {
+        let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        from.send(&Frame::Client(vec![7; 80 * 1024]), vec![client.into()]).unwrap();
+    }
+    from.flush().unwrap();
+    assert!(from.is_flushed());
+    drop(from);
+    let events = upgrade.ready(16);
+    let taken = events.iter().filter(|event| matches!(event, UpgradeEvent::Client(..))).count();
+    assert_eq!(taken, CLIENTS);
+    assert!(matches!(events.last(), Some(UpgradeEvent::PredecessorGone)));
+}
+
 #[test]
 fn invalid_greetings_schemas_and_frames_are_errors() {
     let greeting = |schema: u16| [&frame::MAGIC[..], &schema.to_le_bytes()].concat();
--- a/src/upgrade/tests/recorded.rs
+++ b/src/upgrade/tests/recorded.rs
@@ -55,7 +55,7 @@
     other.write_all(&record(STATES, "state")).unwrap();
     let mut received = Vec::new();
     while received.len() < 7 {
-        assert!(link.read().unwrap());
+        assert_ne!(link.read().unwrap(), LinkRead::Ended);
         while let Some((frame, _)) = link.next().unwrap() {
             received.push(frame);
         }
--- a/tests/net/upgrade.rs
+++ b/tests/net/upgrade.rs
@@ -314,3 +314,35 @@
     assert_eq!(session.connection.receive(), None, "the session ends with the process");
     assert!(old.wait().success());
 }
+
+/// Clients whose commands wait behind a request that hangs are handed over in the old process's last moment; some were never
+/// answered (review/2).
+#[test]
+fn commands_that_wait_until_the_old_process_ends_are_answered_by_the_new_one() {
+    const CLIENTS: usize = 8;
+    const COMMANDS: u64 = 40;
+    const DEADLINE_MS: u64 = 1500;
+    let (hanging, node, place) = (Node::start(|_, _| Reply::Silent), Node::echo(), SharedPlace::new());
+    let discovery = Discovery::start(&[("s-1", hanging.address, 3), ("s-2", node.address, 4)]);
+    let setup = || Setup { deadline_ms: DEADLINE_MS, ..place.setup() };
+    let mut old = Program::start(&discovery, setup());
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| Client::connect(place.listen)).collect();
+    for client in &mut clients {
+        client.request(1, 3, "", None);
+        (1..COMMANDS).for_each(|object| client.request(object, 4, "", Some(&[7; 4000])));
+    }
+    eventually("a read hangs", || (hanging.count() > 0).then_some(()));
+    let new = Program::start(&discovery, setup());
+    eventually("the old process is replaced", || {
+        old.admin_command("ready").contains("replaced").then_some(())
+    });
+    old.terminate();
+    for (number, client) in clients.iter_mut().enumerate() {
+        for object in 0..COMMANDS {
+            let answer = client.try_receive();
+            assert!(answer.is_some(), "client {number} has no answer to command {object}");
+        }
+    }
+    assert!(old.wait().success());
+    assert!(new.info_number("clients_taken_over") >= CLIENTS as u64);
+}
