--- a/src/core.rs
+++ b/src/core.rs
@@ -5,11 +5,13 @@
 //! returns [`Effect`]s for fronts and targets and [`Event`]s for the planner. It does no I/O and reads no clock.
 
 mod counters;
+mod deadlines;
+mod messages;
 
 pub use counters::Counters;
+pub use messages::*;
 
 use crate::clock::Clock;
-use crate::flow::BodyStream;
 use crate::interface::{self, Action, AttemptEnd, Event, NewRequest, NodeId, Outcome, RequestId};
 use crate::memory::{Budget, Grant, Purpose};
 use rustc_hash::FxHashMap;
@@ -27,122 +29,6 @@
 /// Lower bound of a latency from which this process's lateness was subtracted; the real one is unknown.
 const MIN_LATENCY: Duration = Duration::from_millis(1);
 
-/// Where the answer of a request goes: a connection of a front, and the command's sequence number on it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Origin {
-    pub conn: usize,
-    pub sequence: u64,
-}
-
-/// Whether a request reads or writes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Operation {
-    Read,
-    Write,
-}
-
-/// What a target sends for a request. The core does not interpret it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Content {
-    pub operation: Operation,
-    /// The object's key, as 16 hex digits.
-    pub object: String,
-    /// The request id that the client chose.
-    pub id: String,
-    /// Further attributes as sent by the client, without the deadline: `c=read,t=gold,...`.
-    pub attributes: String,
-    pub body: Vec<u8>,
-    /// A long body that is streamed; `body` is empty then.
-    pub body_stream: Option<BodyStream>,
-    /// The blocks it covers on block storage; without it only object nodes can serve the request.
-    pub extent: Option<Extent>,
-}
-
-impl Content {
-    /// Bytes that its client sent, without a body that is streamed.
-    fn bytes(&self) -> usize {
-        self.object.len() + self.id.len() + self.attributes.len() + self.body.len()
-    }
-}
-
-/// A contiguous range of blocks of a logical unit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Extent {
-    pub lun: u16,
-    pub block: u64,
-    pub blocks: u32,
-    pub block_bytes: u32,
-}
-
-/// Identifies one attempt of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct AttemptId {
-    pub request: RequestId,
-    pub number: u32,
-}
-
-/// The result of an attempt, with the values from the node's reply.
-#[derive(Clone, Debug, PartialEq)]
-pub struct AttemptResult {
-    pub outcome: Outcome,
-    pub used: Option<f64>,
-    pub elsewhere: f64,
-    /// The value that was served, unless it was long and streamed.
-    pub value: Vec<u8>,
-    /// Time spent sending the body and receiving the reply. It is not counted as latency: how fast peers read and write
-    /// says nothing about the node's load.
-    pub transfer: Duration,
-}
-
-impl AttemptResult {
-    /// The result of an attempt whose node sent no reply with values.
-    pub fn without_reply(outcome: Outcome) -> Self {
-        AttemptResult { outcome, used: None, elsewhere: 0.0, value: Vec::new(), transfer: Duration::ZERO }
-    }
-}
-
-/// The final answer to a request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Answer {
-    Served(Vec<u8>),
-    Refused { retry_after: Duration },
-    Failed,
-}
-
-/// A command to fronts and targets.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Send an attempt to a node.
-    Start {
-        attempt: AttemptId,
-        node: NodeId,
-        content: Rc<Content>,
-        give_up_at: Instant,
-        /// The last byte has to be sent by then; otherwise the attempt does not start.
-        begin_by: Instant,
-    },
-    /// The client has disconnected: drop the attempt unless its last byte was sent.
-    CancelUnsent { attempt: AttemptId },
-    /// Stop waiting for an attempt. The target reports its end with `outcome`, or that it never ran.
-    Stop { attempt: AttemptId, outcome: Outcome },
-    /// Send the final answer to the client.
-    Answer { origin: Origin, answer: Answer },
-    /// More bytes of an attempt's request body are available.
-    BodyAvailable { attempt: AttemptId },
-    /// A streamed answer ended; `complete` is false if it was cut short.
-    EndStream { origin: Origin, complete: bool },
-    /// A streamed answer of which nothing was passed on is given up: its request gets another answer.
-    DiscardStream { origin: Origin },
-    /// The deadline of a request has come whose streamed answer may be held back until it is whole: pass on what there
-    /// is of it.
-    ReleaseStream { origin: Origin },
-}
-
-/// Whether an attempt with this outcome may have been executed by the node.
-pub fn may_have_run(outcome: Outcome) -> bool {
-    !matches!(outcome, Outcome::Rejected | Outcome::NotConnected | Outcome::NotSent)
-}
-
 struct Attempt {
     node: NodeId,
     sent: Instant,
@@ -617,86 +503,6 @@
         !self.events.is_empty() || !self.effects.is_empty()
     }
 
-    /// Fires the timers that have expired by `now`.
-    pub fn fire_timers(&mut self, now: Instant) {
-        let woken = self.wake_at.take_if(|at| *at <= now).is_some();
-        while let Some((at, attempt)) = self.attempt_timeouts.pop_first() {
-            if at > now {
-                self.attempt_timeouts.insert((at, attempt));
-                break;
-            }
-            // A streamed answer in progress is not cut off.
-            if self.is_running(attempt) && self.stream_origin(attempt).is_none() {
-                self.effects.push(Effect::Stop { attempt, outcome: Outcome::TimedOut });
-            }
-        }
-        self.answer_overdue(now);
-        if woken {
-            self.events.push(Event::Wake);
-        }
-    }
-
-    /// Answers the requests whose deadline passed more than `ANSWER_GRACE` before `now`.
-    pub fn answer_overdue(&mut self, now: Instant) {
-        while let Some((at, id)) = self.overdue_answers.pop_first() {
-            if at > now {
-                self.overdue_answers.insert((at, id));
-                break;
-            }
-            if self.is_overdue(id, now) {
-                tracing::warn!(request = id.0, late = ?(now - at), "no decision by the deadline");
-                self.counters.answered_overdue += 1;
-                self.terminate_overdue(id);
-            } else if let Some(open) = self.requests.get(&id).filter(|open| open.stream.is_some()) {
-                self.effects.push(Effect::ReleaseStream { origin: open.origin });
-            }
-        }
-    }
-
-    /// Ends a request after its deadline as the planner would: refused if its effect allows that, else failed.
-    fn terminate_overdue(&mut self, id: RequestId) {
-        let Some(open) = self.requests.get(&id) else { return };
-        let effect = open.effect;
-        let ran = self.stop_attempts(id);
-        self.answer_without_planner(id, effect.allows_refusal(ran));
-        self.events.push(Event::ClientGone { id });
-    }
-
-    /// Ends a request without the planner: failed if it may have been executed, else refused.
-    fn terminate_without_planner(&mut self, id: RequestId) {
-        let ran = self.stop_attempts(id);
-        self.answer_without_planner(id, !ran);
-    }
-
-    fn answer_without_planner(&mut self, id: RequestId, refuses: bool) {
-        let refused = Answer::Refused { retry_after: self.retry_after };
-        self.answer(id, if refuses { refused } else { Answer::Failed });
-        self.remove_if_finished(id);
-    }
-
-    /// Stops all attempts of a request that are in flight. Returns whether the request may have been executed.
-    fn stop_attempts(&mut self, id: RequestId) -> bool {
-        let Some(open) = self.requests.get(&id) else { return false };
-        let mut ran = open.may_have_run;
-        // A node can't execute a command of which the client has not sent the end.
-        let whole = open.content.body_stream.as_ref().is_none_or(BodyStream::is_terminated);
-        for (number, _) in open.attempts.iter().enumerate().filter(|(_, it)| it.running) {
-            // An attempt in flight may have been executed.
-            ran |= whole;
-            let attempt = AttemptId { request: id, number: number as u32 };
-            self.effects.push(Effect::Stop { attempt, outcome: Outcome::Cancelled });
-        }
-        ran
-    }
-
-    /// At process exit: gives every open request its one final answer and retries nothing.
-    pub fn terminate_all(&mut self) {
-        let mut ids: Vec<RequestId> = self.requests.keys().copied().collect();
-        ids.sort();
-        ids.into_iter().for_each(|id| self.terminate_without_planner(id));
-        self.events.clear();
-    }
-
     pub fn open_requests(&self) -> usize {
         self.requests.len()
     }
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -4,14 +4,17 @@
 //! A connection carries one attempt at a time: a pipelined answer would wait behind earlier answers, and cancelling
 //! one attempt by closing the connection would cancel the others too.
 
+mod connection;
+mod idle;
 pub mod iscsi;
 pub mod resp;
+mod session;
 
 use crate::conn::{Conn, Connecting, ReadEnd};
 use crate::core::{AttemptId, AttemptResult, Content};
-use crate::flow::BodyStream;
 use crate::interface::{NodeId, Outcome};
-use crate::memory::{Budget, Grant, Purpose};
+use crate::memory::{Budget, Purpose};
+use connection::Connection;
 use mio::{Registry, Token};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::{BTreeSet, VecDeque};
@@ -19,6 +22,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+pub use session::{Session, Step};
+
 /// Upper bound of a buffered answer; no valid short answer reaches it.
 const MAX_ANSWER_BYTES: usize = 80 * 1024;
 /// A partial answer that makes no progress for this long is treated as malformed: its lengths do not add up.
@@ -27,52 +32,10 @@
 const TRANSFER_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// How often long transfers are checked for a stall.
 const TRANSFER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Most bytes of a long body that are queued for a connection at a time.
-const BODY_PIECE_BYTES: usize = 32 * 1024;
 /// Fraction of the nodes' own idle timeout after which an idle connection is closed from this side: a request written
 /// to a connection that the node has just closed would end as a reset.
 const IDLE_LIMIT_FRACTION: f64 = 0.5;
 
-/// The protocol state of one connection. It does no I/O.
-pub trait Session {
-    /// Starts the session; true if attempts may follow immediately, without a login.
-    fn open(&mut self, output: &mut Vec<u8>) -> bool;
-
-    /// Encodes the start of an attempt; false if this protocol cannot express it.
-    fn start(&mut self, content: &Content, time_left: Duration, output: &mut Vec<u8>) -> bool;
-
-    /// How long a connection stays unused after an answer, before the next attempt.
-    fn reuse_delay(&self) -> Duration;
-
-    /// Whether the session has written the last byte of the attempt to its output.
-    fn is_sent(&self) -> bool;
-
-    /// Bytes that are kept for the attempt.
-    fn buffered_bytes(&self) -> usize {
-        0
-    }
-
-    /// Reads received bytes. Returns an error if the peer violates the protocol.
-    fn input(&mut self, input: &mut Vec<u8>, output: &mut Vec<u8>) -> Result<Step, String>;
-}
-
-/// Result of reading some input.
-#[derive(Debug, PartialEq)]
-pub enum Step {
-    /// The message is incomplete; more input is needed.
-    Incomplete,
-    /// The session is ready for attempts.
-    Ready,
-    /// A long value of this many bytes follows in pieces.
-    LongAnswer(usize),
-    /// The next bytes of the long value.
-    Data(Vec<u8>),
-    /// The attempt ended.
-    Ended(AttemptResult),
-    /// The peer asks to close the connection.
-    Closing,
-}
-
 /// Address and protocol of a node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
@@ -119,105 +82,6 @@
     pub begin_by: Instant,
 }
 
-struct Connection {
-    conn: Conn,
-    session: Box<dyn Session>,
-    node: NodeId,
-    /// The endpoint that this connection was opened to.
-    endpoint: Endpoint,
-    /// The TCP connection is established.
-    connected: bool,
-    attempt: Option<AttemptId>,
-    /// Content and deadline of an attempt that has not been encoded yet.
-    pending: Option<(Rc<Content>, Instant)>,
-    /// Time by which the last byte of the attempt has to be sent.
-    begin_by: Instant,
-    /// Since when the connection is idle.
-    idle_since: Instant,
-    /// Since when an incomplete answer has made no progress.
-    partial_since: Option<Instant>,
-    /// A long request body that is being sent, and how many of its bytes were queued for output.
-    body: Option<(BodyStream, usize)>,
-    /// When a long body or answer last made progress.
-    last_progress: Instant,
-    /// When the attempt was started, how long its body took to send, and when an answer that did not arrive whole
-    /// began.
-    started: Instant,
-    send_time: Option<Duration>,
-    answer_started: Option<Instant>,
-    /// [`TransferEvent::Slow`] was reported for this attempt.
-    reported_slow: bool,
-    /// Bytes of a long answer that may still be read, once it has started.
-    credit: Option<usize>,
-    /// Memory for what is buffered.
-    memory: Grant,
-}
-
-impl Connection {
-    /// Whether the attempt's last byte was handed to the kernel.
-    fn all_written(&self) -> bool {
-        self.pending.is_none() && self.body.is_none() && self.session.is_sent() && self.conn.unwritten() == 0
-    }
-
-    /// Counts what is buffered.
-    fn count_memory(&mut self) {
-        let bytes = self.conn.input.capacity() + self.conn.unwritten() + self.session.buffered_bytes();
-        self.memory.resize(bytes);
-    }
-
-    /// Whether no byte of the attempt was handed to the kernel.
-    fn is_unsent(&self) -> bool {
-        self.pending.is_some() || (!self.conn.has_begun() && self.conn.unwritten() > 0)
-    }
-
-    /// Writes as much of a long body as is available, one piece at a time; true if any bytes were written. Its terminator
-    /// follows once the client's command is whole.
-    fn write_body(&mut self, now: Instant) -> std::io::Result<bool> {
-        let mut moved = false;
-        while let Some((flow, at)) = &mut self.body {
-            let before = self.conn.unwritten();
-            self.conn.flush()?;
-            moved |= self.conn.unwritten() < before;
-            if self.conn.unwritten() > 0 {
-                break;
-            }
-            let piece = flow.copy(*at, BODY_PIECE_BYTES);
-            *at += piece.len();
-            flow.release(*at);
-            self.conn.push(&piece);
-            moved |= !piece.is_empty();
-            if *at == flow.length() && flow.is_terminated() {
-                // The node begins its work with the terminator, which the client has to have sent.
-                self.conn.push(b"\r\n");
-                self.body = None;
-                moved = true;
-            } else if piece.is_empty() {
-                break;
-            }
-        }
-        self.conn.flush()?;
-        if self.send_time.is_none() && self.body.is_none() && self.conn.unwritten() == 0 {
-            self.send_time = Some(now - self.started);
-        }
-        if moved {
-            self.last_progress = now;
-        }
-        Ok(moved)
-    }
-
-    /// Starts the pending attempt, if there is one; false if the protocol cannot express it.
-    fn start_pending(&mut self, now: Instant) -> bool {
-        let Some((content, give_up_at)) = self.pending.take() else { return true };
-        let mut output = Vec::new();
-        let supported = self.session.start(&content, give_up_at.saturating_duration_since(now), &mut output);
-        self.conn.push(&output);
-        self.body = content.body_stream.clone().map(|flow| (flow, 0));
-        (self.started, self.last_progress, self.reported_slow) = (now, now, false);
-        (self.send_time, self.answer_started, self.credit) = (None, None, None);
-        supported
-    }
-}
-
 /// All connections to nodes.
 pub struct Targets {
     conns: FxHashMap<usize, Connection>,
@@ -352,32 +216,6 @@
         self.unsent.insert((begin_by.min(now + self.connect_timeout), token.0));
     }
 
-    /// Takes the most recently used idle connection to a node whose reuse delay is over.
-    fn take_idle(&mut self, now: Instant, node: NodeId) -> Option<usize> {
-        let idle = self.idle.get(&node)?;
-        let conns = &self.conns;
-        let rested = |id: &usize| {
-            conns
-                .get(id)
-                .is_none_or(|connection| connection.idle_since + connection.session.reuse_delay() <= now)
-        };
-        let id = *idle.iter().rfind(|id| rested(id))?;
-        self.remove_idle(node, id);
-        Some(id)
-    }
-
-    /// Removes a connection from the idle lists.
-    fn remove_idle(&mut self, node: NodeId, id: usize) {
-        let Some(idle) = self.idle.get_mut(&node) else { return };
-        idle.retain(|other| *other != id);
-        if idle.is_empty() {
-            self.idle.remove(&node);
-        }
-        if let Some(connection) = self.conns.get(&id) {
-            self.idle_order.remove(&(connection.idle_since, id));
-        }
-    }
-
     /// Sizes of the collections kept here, by metric name.
     pub fn sizes(&self) -> [(&'static str, usize); 3] {
         [
@@ -442,13 +280,6 @@
         self.max_connections = max_connections;
     }
 
-    /// Closes all idle connections, because another process needs the descriptors.
-    pub fn close_all_idle(&mut self) {
-        for (_, id) in std::mem::take(&mut self.idle_order) {
-            self.close(id);
-        }
-    }
-
     /// Whether ended attempts or progress of long values wait to be taken.
     pub fn has_results(&self) -> bool {
         !self.ended.is_empty() || !self.transfer_events.is_empty()
@@ -459,19 +290,6 @@
         self.conns.len()
     }
 
-    fn close_idle(&mut self, node: NodeId) {
-        for id in self.idle.get(&node).cloned().unwrap_or_default() {
-            self.close(id);
-        }
-    }
-
-    fn close_least_recently_used(&mut self) {
-        // The least recently used connection is the least likely to be needed again.
-        if let Some((_, id)) = self.idle_order.first().copied() {
-            self.close(id);
-        }
-    }
-
     /// Whether an attempt has not ended.
     pub fn is_running(&self, attempt: AttemptId) -> bool {
         self.by_attempt.contains_key(&attempt)
