A client without a slot is answered to the last of its commands

Cause: such a client was marked as closing with its first answer, after 32 commands of a turn, and the rest of its input was not looked at.

Change: it is marked when it is answered and nothing more has arrived; one that goes on sending is read no further after 2.6 s, as in a drain.

--- a/src/front/client.rs
+++ b/src/front/client.rs
@@ -75,7 +75,7 @@
     pub is_overflow: bool,
     /// Index of the endpoint that accepted it.
     pub endpoint: usize,
-    /// Since when its new commands are declined because its endpoint is retired or load is shed.
+    /// Since when its new commands are declined because it has no slot, its endpoint is retired or load is shed.
     pub declined_since: Option<Instant>,
     /// Arrival times of its input.
     pub arrivals: ArrivalTimes,
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -376,11 +376,12 @@
             let not_stalled = !incomplete || self.protocol.is_blocked(&client.session) || left == 0;
             client.partial_since =
                 client.partial_since.filter(|_| offset == 0).or(Some(now)).filter(|_| !not_stalled);
-            if client.is_overflow && offset > 0 {
-                // The client was told to retry later: free its descriptor for the next one.
+            if client.is_overflow && offset > 0 && left > 0 && drained {
+                // The client was told to retry later, in answer to all that it has sent: free its descriptor for the next one.
                 client.closing_since = Some(now);
             }
-            let declining = retired || matches!(new_commands, NewCommands::DeclineFrom(_));
+            let declining =
+                retired || client.is_overflow || matches!(new_commands, NewCommands::DeclineFrom(_));
             client.declined_since =
                 client.declined_since.or((offset > 0).then_some(now)).filter(|_| declining);
             if left == 0 {
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -262,6 +262,29 @@
     assert_eq!((answers.as_slice(), front.overflow_count), (&b"+PONG\r\n"[..], 0));
 }
 
+/// At an initiator whose slots are taken a client that sent 60 commands at once got 32 answers, and its connection was closed
+/// over the other 28, which had been read (review/tried-2/overflow.py).
+#[test]
+fn a_client_without_a_slot_is_answered_to_the_last_of_its_commands() {
+    const COMMANDS: usize = 2 * MAX_COMMANDS_PER_ITERATION + 6;
+    let poll = Poll::new().unwrap();
+    let limits = ClientLimits { evict_idle_above: 4, clients: 4, overflow: 2, lingering: 2 };
+    let (mut front, mut silent, mut core) = front_full_of_silent_clients(&poll, limits);
+    connect_and_ping(&mut front, &poll, &mut core);
+    let demoted = *front.clients.iter().find(|(_, client)| client.is_overflow).unwrap().0;
+    silent[0].write_all(&PING.repeat(COMMANDS)).unwrap();
+    let limit = Instant::now() + Duration::from_secs(20);
+    while front.clients.contains_key(&demoted) {
+        assert!(Instant::now() < limit, "it is answered and closed");
+        front.readable(Instant::now(), demoted, &mut core);
+        front.run_iteration(Instant::now(), poll.registry(), || Token(4096), &mut core);
+    }
+    silent[0].set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let mut answers = Vec::new();
+    silent[0].read_to_end(&mut answers).unwrap();
+    assert_eq!(answers, b"+PONG\r\n".repeat(COMMANDS));
+}
+
 /// If clients with incomplete commands held all slots for declined clients, a silent served client was closed
 /// but the new connection was counted among the declined ones, so the freed slot was given away twice: 261 to
 /// 1,132 descriptors where 256 to 1,024 are allowed, in 22 of 52 seeds of the extended soak.
