Commands that were read when the process ends are answered before the close

What callers would see: of more than 32 commands that arrive at once when a process closes its idle connections after SIGTERM, 32 are answered and the rest, though read, is not. Found by reading.

Cause: the front takes 32 commands from a client in a turn, and a client with more counted as idle when these were answered.

Change: a client with input that is not handled yet is not idle then.

Result: the unit test gets 32 of 102 answers without the change and all with it.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -70,7 +70,7 @@
     limits: ClientLimits,
     /// How the service state (ready, draining, shutting down) affects clients.
     client_policy: ClientPolicy,
-    /// Since when the front is shutting down.
+    /// Since when the process ends and nothing more is begun.
     ending_since: Option<Instant>,
     /// Whether new connections are accepted at the machine's own address.
     accepting: bool,
--- a/src/front/shedding.rs
+++ b/src/front/shedding.rs
@@ -148,11 +148,13 @@
         }
     }
 
-    /// Stops listening and closes clients as they become idle; true once no connection is left. With `answer_all`, commands
-    /// that are not whole are answered too.
+    /// Stops listening and closes clients as they become idle; true once no connection is left. With `answer_all`, nothing
+    /// more is begun, and commands that are not whole are answered too.
     pub fn shut_down(&mut self, now: Instant, answer_all: bool, core: &mut Core) -> bool {
         self.endpoints.iter_mut().for_each(|endpoint| endpoint.listener = None);
-        self.ending_since.get_or_insert(now);
+        if answer_all {
+            self.ending_since.get_or_insert(now);
+        }
         let ids: Vec<usize> = self.clients.keys().copied().collect();
         for id in ids {
             // Input that has arrived is handled before the connection is closed.
@@ -163,11 +165,14 @@
         self.clients.is_empty() && self.lingering.is_empty()
     }
 
-    /// Reads no more from a client that is idle, unless it can be handed over, and with `answer_all` from any that is not.
+    /// Reads no more from a client that is idle and has no more input to be handled, unless it can be handed over. With
+    /// `answer_all`, no command is received to its end.
     fn close_at_the_end(&mut self, now: Instant, id: usize, answer_all: bool) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let idle = self.protocol.is_idle(&client.session);
-        if idle && !self.client_policy.hand_over || !idle && answer_all {
+        let idle = self.protocol.is_idle(&client.session) && !client.queued;
+        // The rest of a body can't be told from the next command.
+        let within_body = answer_all && self.protocol.is_receiving_body(&client.session);
+        if idle && !self.client_policy.hand_over || within_body {
             client.closing_since.get_or_insert(now);
             client.partial_since = None;
         }
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -285,6 +285,27 @@
     assert_eq!(answers, b"+PONG\r\n".repeat(COMMANDS));
 }
 
+/// Guards against commands that were read when the process ends and whose connection is closed over them: more of them came at
+/// once than are handled in a turn.
+#[test]
+fn all_commands_that_were_sent_at_once_are_answered_when_the_front_shuts_down() {
+    const COMMANDS: usize = 3 * MAX_COMMANDS_PER_ITERATION + 6;
+    let poll = Poll::new().unwrap();
+    let limits = ClientLimits { evict_idle_above: 4, clients: 1, overflow: 1, lingering: 1 };
+    let (mut front, mut clients, mut core) = front_full_of_silent_clients(&poll, limits);
+    clients[0].write_all(&PING.repeat(COMMANDS)).unwrap();
+    let limit = Instant::now() + Duration::from_secs(20);
+    while !front.clients.is_empty() {
+        assert!(Instant::now() < limit, "it is answered and closed");
+        front.shut_down(Instant::now(), false, &mut core);
+        front.run_iteration(Instant::now(), poll.registry(), || Token(4096), &mut core);
+    }
+    clients[0].set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let mut answers = Vec::new();
+    clients[0].read_to_end(&mut answers).unwrap();
+    assert_eq!(answers.len(), b"+PONG\r\n".len() * COMMANDS);
+}
+
 /// If clients with incomplete commands held all slots for declined clients, a silent served client was closed
 /// but the new connection was counted among the declined ones, so the freed slot was given away twice: 261 to
 /// 1,132 descriptors where 256 to 1,024 are allowed, in 22 of 52 seeds of the extended soak.
--- a/src/upgrade/link.rs
+++ b/src/upgrade/link.rs
@@ -183,7 +183,7 @@
 fn receive_message(
     socket: RawFd,
     bytes: &mut [u8],
-    space: &mut Vec<u8>,
+    space: &mut [u8],
 ) -> Result<(usize, Vec<OwnedFd>), Errno> {
     let mut buffers = [IoSliceMut::new(bytes)];
     let message = recvmsg::<()>(socket, &mut buffers, Some(space), MsgFlags::MSG_CMSG_CLOEXEC)?;
